Configuration fold, framed links and failure detector

Root interfaces and shared data, the configuration tree with its fold and

failure detector as plain state machines.

--- /dev/null
+++ b/change.go
@@ -0,0 +1,108 @@
+package cicadaseam
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Edit sets or deletes one key of the tree. Path names the object, for
+// instance "scope:georgia-east/*/status-portal" or "route:status". A deletion
+// with an empty key deletes the whole object.
+type Edit struct {
+	Path   string `msgpack:"p" json:"path"`
+	Key    string `msgpack:"k" json:"key"`
+	Value  string `msgpack:"v,omitempty" json:"value,omitempty"`
+	Delete bool   `msgpack:"x,omitempty" json:"delete,omitempty"`
+}
+
+// Change is a set of edits that is applied whole or not at all. Base is the
+// version that its author had read: an edited key that has changed since then
+// makes the change a conflict.
+type Change struct {
+	ID     string `msgpack:"i" json:"id"`
+	Base   Offset `msgpack:"b" json:"base"`
+	Author string `msgpack:"a,omitempty" json:"author,omitempty"`
+	Edits  []Edit `msgpack:"e" json:"edits"`
+}
+
+// Verdict is what the fold decided about a record.
+type Verdict uint8
+
+// The verdicts. VerdictUnknown is never decided by the fold: it is the answer
+// to an operator when no verdict was learned in time.
+const (
+	VerdictUnknown Verdict = iota
+	VerdictAccepted
+	VerdictConflict
+	VerdictInvalid
+	VerdictDuplicate
+)
+
+var verdictNames = []string{"unknown", "accepted", "conflict", "invalid", "duplicate"}
+
+// String returns the lower-case name of the verdict.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q", text)
+}
+
+// Fault is one reason why a tree or a change is invalid.
+type Fault struct {
+	Path    string `msgpack:"p" json:"path"`
+	Key     string `msgpack:"k" json:"key,omitempty"`
+	Problem string `msgpack:"m" json:"problem"`
+}
+
+// String returns the fault as "path key: problem".
+func (f Fault) String() string {
+	if f.Key == "" {
+		return f.Path + ": " + f.Problem
+	}
+	return f.Path + " " + f.Key + ": " + f.Problem
+}
+
+// InvalidError reports every fault of a change.
+type InvalidError struct {
+	ID     string
+	Faults []Fault
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	texts := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		texts[i] = f.String()
+	}
+	return fmt.Sprintf("change %s is invalid: %s", e.ID, strings.Join(texts, "; "))
+}
+
+// Decision is the verdict on one record of the configuration stream.
+type Decision struct {
+	ID      string  `msgpack:"i" json:"id"`
+	Version Offset  `msgpack:"o" json:"version"`
+	Verdict Verdict `msgpack:"v" json:"verdict"`
+	Faults  []Fault `msgpack:"f,omitempty" json:"faults,omitempty"`
+}
+
+// Place says where a process runs. A process learns it from its settings.
+type Place struct {
+	Region     string `msgpack:"r" json:"region"`
+	Deployment string `msgpack:"d" json:"deployment"`
+	Zone       string `msgpack:"z" json:"zone"`
+}
--- /dev/null
+++ b/internal/config/tree/validate.go
@@ -0,0 +1,146 @@
+package tree
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// Validate returns every fault of the whole tree in order of path and key.
+func (t *Tree) Validate() []cicadaseam.Fault {
+	var faults []cicadaseam.Fault
+	for _, path := range t.Paths("") {
+		faults = append(faults, t.validateObject(path)...)
+	}
+	faults = append(faults, t.validateUnique(KindRoute, "prefix")...)
+	faults = append(faults, t.validateUnique(KindCustomer, "credential")...)
+	return faults
+}
+
+func (t *Tree) validateObject(path string) []cicadaseam.Fault {
+	kind, objName := splitPath(path)
+	specs, ok := specsOf(kind)
+	if !ok {
+		return []cicadaseam.Fault{{Path: path, Problem: fmt.Sprintf("unknown kind of object %q", kind)}}
+	}
+	faults := t.validateName(path, kind, objName)
+	obj := t.objects[path]
+	for _, key := range sortedKeys(obj) {
+		spec, known := specs[key]
+		if !known {
+			faults = append(faults, cicadaseam.Fault{Path: path, Key: key, Problem: "unknown key"})
+			continue
+		}
+		if problem := spec.parse(obj[key]); problem != "" {
+			faults = append(faults, cicadaseam.Fault{Path: path, Key: key, Problem: problem})
+		}
+	}
+	for key, spec := range specs {
+		if _, set := obj[key]; spec.required && !set {
+			faults = append(faults, cicadaseam.Fault{Path: path, Key: key, Problem: "required key is missing"})
+		}
+	}
+	sortFaults(faults)
+	return append(faults, t.validateReferences(path, kind)...)
+}
+
+func (t *Tree) validateName(path, kind, objName string) []cicadaseam.Fault {
+	if kind == KindScope {
+		return t.validateScope(path, objName)
+	}
+	if problem := name(objName); problem != "" {
+		return []cicadaseam.Fault{{Path: path, Problem: problem}}
+	}
+	return nil
+}
+
+// validateScope checks that each level that a scope names exists.
+func (t *Tree) validateScope(path, objName string) []cicadaseam.Fault {
+	levels, ok := parseScope(objName)
+	if !ok {
+		return []cicadaseam.Fault{{Path: path, Problem: "a scope is deployment/zone/service/class with '*' for an open level, and its last level is named"}}
+	}
+	var faults []cicadaseam.Fault
+	fault := func(format string, args ...any) {
+		faults = append(faults, cicadaseam.Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
+	}
+	if levels[0] != wild && !t.hasDeployment(levels[0]) {
+		fault("unknown deployment %q", levels[0])
+	}
+	if levels[1] != wild {
+		deployment, known := t.Get(KindZone+":"+levels[1], "deployment")
+		switch {
+		case !known:
+			fault("unknown zone %q", levels[1])
+		case levels[0] != wild && deployment != levels[0]:
+			fault("zone %q is in deployment %q", levels[1], deployment)
+		}
+	}
+	if levels[2] != wild && !t.has(KindService, levels[2]) {
+		fault("unknown service %q", levels[2])
+	}
+	if levels[3] != wild && !t.has(KindClass, levels[3]) {
+		fault("unknown class %q", levels[3])
+	}
+	return faults
+}
+
+func (t *Tree) validateReferences(path, kind string) []cicadaseam.Fault {
+	key, target := "", ""
+	switch kind {
+	case KindRoute:
+		key, target = "service", KindService
+	case KindCustomer:
+		key, target = "class", KindClass
+	default:
+		return nil
+	}
+	ref, set := t.objects[path][key]
+	if !set || t.has(target, ref) {
+		return nil
+	}
+	return []cicadaseam.Fault{{Path: path, Key: key, Problem: fmt.Sprintf("there is no %s %q", target, ref)}}
+}
+
+// validateUnique finds two objects of a kind with the same value of a key.
+func (t *Tree) validateUnique(kind, key string) []cicadaseam.Fault {
+	var faults []cicadaseam.Fault
+	owner := map[string]string{}
+	for _, path := range t.Paths(kind) {
+		value, set := t.objects[path][key]
+		if !set {
+			continue
+		}
+		if first, taken := owner[value]; taken {
+			faults = append(faults, cicadaseam.Fault{Path: path, Key: key, Problem: "has the same value as " + first})
+			continue
+		}
+		owner[value] = path
+	}
+	return faults
+}
+
+func (t *Tree) has(kind, objName string) bool {
+	_, ok := t.objects[kind+":"+objName]
+	return ok
+}
+
+func (t *Tree) hasDeployment(deployment string) bool {
+	for path, obj := range t.objects {
+		if strings.HasPrefix(path, KindZone+":") && obj["deployment"] == deployment {
+			return true
+		}
+	}
+	return false
+}
+
+func sortFaults(faults []cicadaseam.Fault) {
+	sort.SliceStable(faults, func(i, j int) bool {
+		if faults[i].Path != faults[j].Path {
+			return faults[i].Path < faults[j].Path
+		}
+		return faults[i].Key < faults[j].Key
+	})
+}
--- /dev/null
+++ b/internal/link/mux/pool.go
@@ -0,0 +1,226 @@
+package mux
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+)
+
+var (
+	errSilent = errors.New("silent: no byte within the silence time")
+	errIdle   = errors.New("closed: idle")
+	errClosed = errors.New("closed: pool ended")
+)
+
+// Counters count what a pool or a server did.
+type Counters struct {
+	BytesIn    atomic.Int64
+	BytesOut   atomic.Int64
+	Dials      atomic.Int64
+	Silent     atomic.Int64
+	LateFrames atomic.Int64
+}
+
+// Pool holds one connection to each peer.
+type Pool struct {
+	network     cicadaseam.Network
+	timers      *timer.Service
+	heartbeat   time.Duration
+	silence     time.Duration
+	idle        time.Duration
+	dialTimeout time.Duration
+	counts      Counters
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is the way to one address. Its mutex makes one dial serve all waiters.
+type peer struct {
+	mu      sync.Mutex
+	conn    *conn
+	dialing chan struct{}
+	dialErr error
+}
+
+// Option changes a new Pool.
+type Option func(*Pool)
+
+// WithSilence sets the time after which a connection without a byte from the
+// peer is replaced.
+func WithSilence(d time.Duration) Option { return func(p *Pool) { p.silence = d } }
+
+// WithHeartbeat sets the period of heartbeats on connections in use.
+func WithHeartbeat(d time.Duration) Option { return func(p *Pool) { p.heartbeat = d } }
+
+// WithDialTimeout bounds a dial.
+func WithDialTimeout(d time.Duration) Option { return func(p *Pool) { p.dialTimeout = d } }
+
+// NewPool returns an empty pool.
+func NewPool(network cicadaseam.Network, timers *timer.Service, opts ...Option) *Pool {
+	p := &Pool{
+		network:     network,
+		timers:      timers,
+		heartbeat:   DefaultHeartbeat,
+		silence:     DefaultSilence,
+		idle:        DefaultIdle,
+		dialTimeout: DefaultDialTimeout,
+		peers:       map[string]*peer{},
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Counters returns the counters of the pool.
+func (p *Pool) Counters() *Counters { return &p.counts }
+
+// Run checks the connections until the context ends, then closes them.
+func (p *Pool) Run(ctx context.Context) {
+	sub := p.timers.Subscribe(p.heartbeat)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeAll()
+			return
+		case now := <-sub.C:
+			p.check(now)
+		}
+	}
+}
+
+// Request sends a message to the peer at addr and returns its answer.
+func (p *Pool) Request(ctx context.Context, addr string, method uint8, payload []byte) ([]byte, error) {
+	c, err := p.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return c.request(ctx, method, payload)
+}
+
+// connect returns a live connection; one dial serves all that wait.
+func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
+	pr := p.peer(addr)
+	pr.mu.Lock()
+	if pr.conn != nil && pr.conn.alive() {
+		defer pr.mu.Unlock()
+		return pr.conn, nil
+	}
+	if pr.dialing == nil {
+		pr.dialing = make(chan struct{})
+		go p.dial(addr, pr, pr.dialing)
+	}
+	dialing := pr.dialing
+	pr.mu.Unlock()
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, &LinkError{Peer: addr, Reason: "dial: " + context.Cause(ctx).Error()}
+	}
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn == nil {
+		return nil, &LinkError{Peer: addr, Reason: "dial: " + errorText(pr.dialErr)}
+	}
+	return pr.conn, nil
+}
+
+func (p *Pool) dial(addr string, pr *peer, done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.dialTimeout)
+	defer cancel()
+	p.counts.Dials.Add(1)
+	nc, err := p.network.Dial(ctx, addr)
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.conn, pr.dialErr, pr.dialing = nil, err, nil
+	if err == nil {
+		pr.conn = newConn(addr, nc, &p.counts)
+	}
+	close(done)
+}
+
+func (p *Pool) peer(addr string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pr := p.peers[addr]
+	if pr == nil {
+		pr = &peer{}
+		p.peers[addr] = pr
+	}
+	return pr
+}
+
+func (p *Pool) check(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, pr := range p.peers {
+		if !pr.check(now, p.silence, p.idle) {
+			delete(p.peers, addr)
+		}
+	}
+}
+
+// check returns false when the peer has neither a connection nor a dial.
+func (pr *peer) check(now time.Time, silence, idle time.Duration) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn != nil && !pr.conn.check(now, silence, idle) {
+		pr.conn = nil
+	}
+	return pr.conn != nil || pr.dialing != nil
+}
+
+func (p *Pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pr := range p.peers {
+		pr.mu.Lock()
+		if pr.conn != nil {
+			pr.conn.fail(errClosed)
+		}
+		pr.mu.Unlock()
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "connection ended"
+	}
+	return err.Error()
+}
+
+// countingWriter counts the bytes written to a connection.
+type countingWriter struct {
+	nc net.Conn
+	n  *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w countingWriter) Write(b []byte) (int, error) {
+	n, err := w.nc.Write(b)
+	w.n.Add(int64(n))
+	return n, err
+}
+
+// countingReader counts the bytes read from a connection.
+type countingReader struct {
+	nc io.Reader
+	n  *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(b []byte) (int, error) {
+	n, err := r.nc.Read(b)
+	r.n.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/member/detect/packet.go
@@ -0,0 +1,86 @@
+package detect
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// Format is the number of the packet format.
+const Format = 1
+
+// MaxPacket bounds an encoded packet in bytes: one Ethernet frame.
+const MaxPacket = 1400
+
+// Kind is the kind of a packet.
+type Kind uint8
+
+// The kinds of packets.
+const (
+	Ping Kind = iota + 1
+	Ack
+	// PingRequest asks the receiver to probe Subject.
+	PingRequest
+	// NotMe answers a ping for an id that no longer lives at the address.
+	NotMe
+	// Spread carries updates and marks and is not answered.
+	Spread
+)
+
+// ZoneDigest is a digest of the live members of one availability zone.
+type ZoneDigest struct {
+	Zone   string `msgpack:"z"`
+	Digest uint64 `msgpack:"d"`
+}
+
+// Packet is one datagram between nodes.
+type Packet struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Kind     Kind
+	Seq      uint64
+	From     string
+	FromAddr string
+	// To is the id that the sender means.
+	To string
+	// Subject is the address to probe for a PingRequest.
+	Subject string
+	Head    cicadaseam.Head
+	Zones   []ZoneDigest
+	Updates []cicadaseam.Member
+	Marks   []cicadaseam.Mark
+}
+
+// DecodeError reports bytes that are no packet.
+type DecodeError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string { return "packet does not decode: " + e.Reason }
+
+// Encode returns the datagram of a packet.
+func Encode(p *Packet) ([]byte, error) {
+	body, err := msgpack.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	return append([]byte{Format}, body...), nil
+}
+
+// Decode returns the packet in a datagram.
+func Decode(data []byte) (*Packet, error) {
+	if len(data) == 0 || data[0] != Format {
+		return nil, &DecodeError{Reason: "unknown format"}
+	}
+	var p Packet
+	if err := msgpack.Unmarshal(data[1:], &p); err != nil {
+		return nil, &DecodeError{Reason: err.Error()}
+	}
+	if p.From == "" || p.Kind < Ping || p.Kind > Spread {
+		return nil, &DecodeError{Reason: fmt.Sprintf("kind %d from %q", p.Kind, p.From)}
+	}
+	return &p, nil
+}
--- /dev/null
+++ b/internal/member/detect/receive.go
@@ -0,0 +1,241 @@
+package detect
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// syncAfter is the number of differing zone digests in a row that asks for an
+// exchange: one may only mean that an update is still on its way.
+const syncAfter = 3
+
+// Receive takes a packet and returns the packets to send.
+func (d *Detector) Receive(now time.Time, p *Packet) []Send {
+	for _, m := range p.Updates {
+		d.update(now, m, p.From)
+	}
+	d.compareZones(p)
+	switch p.Kind {
+	case Ping:
+		return d.answerPing(p)
+	case PingRequest:
+		return d.relayPing(now, p)
+	case Ack:
+		return d.takeAck(now, p)
+	case NotMe:
+		d.takeNotMe(now, p)
+	}
+	return nil
+}
+
+func (d *Detector) answerPing(p *Packet) []Send {
+	kind := Ack
+	if p.To != d.self.ID {
+		kind = NotMe
+	}
+	answer := d.packet(kind, d.memberOf(p))
+	answer.Seq = p.Seq
+	answer.To = p.To
+	if _, known := d.members[p.From]; !known {
+		answer.Updates = append(answer.Updates, d.self)
+	}
+	return []Send{{Addr: p.FromAddr, Packet: answer}}
+}
+
+func (d *Detector) memberOf(p *Packet) cicadaseam.Member {
+	if e := d.members[p.From]; e != nil {
+		return e.m
+	}
+	return cicadaseam.Member{ID: p.From, Addr: p.FromAddr}
+}
+
+func (d *Detector) relayPing(now time.Time, p *Packet) []Send {
+	d.seq++
+	d.relays[d.seq] = relay{seq: p.Seq, addr: p.FromAddr, expire: now.Add(2 * d.period)}
+	out := d.packet(Ping, cicadaseam.Member{ID: p.To, Addr: p.Subject})
+	out.Seq = d.seq
+	out.To = p.To
+	return []Send{{Addr: p.Subject, Packet: out}}
+}
+
+func (d *Detector) takeAck(now time.Time, p *Packet) []Send {
+	if r, ok := d.relays[p.Seq]; ok {
+		delete(d.relays, p.Seq)
+		out := d.packet(Ack, cicadaseam.Member{Addr: r.addr})
+		out.Seq = r.seq
+		out.To = p.To
+		return []Send{{Addr: r.addr, Packet: out}}
+	}
+	if d.probe == nil || d.probe.seq != p.Seq {
+		return nil
+	}
+	e := d.members[d.probe.id]
+	d.raiseScore(-1)
+	d.holdProbe()
+	if e != nil {
+		d.heard(now, e)
+	}
+	return nil
+}
+
+// holdProbe keeps an answered probe in place until its period ends.
+func (d *Detector) holdProbe() {
+	d.probe.id = ""
+	d.probe.indirect = true
+}
+
+// heard takes the sign of life of a probed member. An alive member that others
+// suspect refutes by itself; one that this node holds unreachable is alive.
+func (d *Detector) heard(now time.Time, e *entry) {
+	e.ackedAt = now
+	if e.m.State != cicadaseam.MemberUnreachable {
+		return
+	}
+	e.m.State = cicadaseam.MemberAlive
+	e.changed = now
+	d.version++
+	d.mismatch[e.m.Place.Zone] = 0
+	d.syncs = append(d.syncs, Sync{Addr: e.m.Addr, Zone: e.m.Place.Zone})
+}
+
+// takeNotMe learns that the process with the probed id is gone: another one
+// lives at its address.
+func (d *Detector) takeNotMe(now time.Time, p *Packet) {
+	e := d.members[p.To]
+	if e == nil || e.m.State >= cicadaseam.MemberDead || e.m.Addr != p.FromAddr {
+		return
+	}
+	m := e.m
+	m.State = cicadaseam.MemberDead
+	d.counts.Deaths++
+	d.set(now, e, m, "")
+	if d.probe != nil && d.probe.id == p.To {
+		d.holdProbe()
+	}
+}
+
+// compareZones asks for an exchange when the sender's view of a zone stays
+// different.
+func (d *Detector) compareZones(p *Packet) {
+	for _, z := range p.Zones {
+		if d.digests[z.Zone] == z.Digest {
+			d.mismatch[z.Zone] = 0
+			continue
+		}
+		d.mismatch[z.Zone]++
+		if d.mismatch[z.Zone] >= syncAfter {
+			d.mismatch[z.Zone] = 0
+			d.syncs = append(d.syncs, Sync{Addr: p.FromAddr, Zone: z.Zone})
+		}
+	}
+}
+
+// packet returns a packet with the updates and one zone digest that are due.
+func (d *Detector) packet(kind Kind, to cicadaseam.Member) *Packet {
+	p := &Packet{Kind: kind, From: d.self.ID, FromAddr: d.self.Addr, To: to.ID}
+	if len(d.zones) > 0 {
+		zone := d.zones[d.zoneAt%len(d.zones)]
+		d.zoneAt++
+		p.Zones = []ZoneDigest{{Zone: zone, Digest: d.digests[zone]}}
+	}
+	if kind != PingRequest {
+		p.Updates = d.takeUpdates(to.ID)
+	}
+	return p
+}
+
+// enqueue spreads the news about a member from the start.
+func (d *Detector) enqueue(id string) {
+	if id == d.self.ID {
+		if !slices.Contains(d.queue, id) {
+			d.queue = append(d.queue, id)
+		}
+		d.selfTransmits = 0
+		return
+	}
+	e := d.members[id]
+	e.transmits = 0
+	if !e.queued {
+		e.queued = true
+		d.queue = append(d.queue, id)
+	}
+}
+
+// takeUpdates returns the least spread updates that fit in a packet.
+func (d *Detector) takeUpdates(to string) []cicadaseam.Member {
+	if len(d.queue) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.queue, func(i, j int) bool { return d.transmits(d.queue[i]) < d.transmits(d.queue[j]) })
+	limit := retransmitFactor * int(math.Ceil(math.Log10(float64(len(d.members)+2))+1))
+	room := MaxPacket - updateReserve
+	var out []cicadaseam.Member
+	var keep []string
+	for _, id := range d.queue {
+		m, ok := d.lookup(id)
+		if !ok {
+			continue
+		}
+		size := encodedSize(m)
+		if size > room {
+			keep = append(keep, id)
+			continue
+		}
+		room -= size
+		out = append(out, m)
+		if d.countTransmit(id) < limit {
+			keep = append(keep, id)
+			continue
+		}
+		if e := d.members[id]; e != nil {
+			e.queued = false
+		}
+	}
+	d.queue = keep
+	return out
+}
+
+func (d *Detector) lookup(id string) (cicadaseam.Member, bool) {
+	if id == d.self.ID {
+		return d.self, true
+	}
+	e := d.members[id]
+	if e == nil {
+		return cicadaseam.Member{}, false
+	}
+	return e.m, true
+}
+
+func (d *Detector) transmits(id string) int {
+	if id == d.self.ID {
+		return d.selfTransmits
+	}
+	if e := d.members[id]; e != nil {
+		return e.transmits
+	}
+	return 0
+}
+
+func (d *Detector) countTransmit(id string) int {
+	if id == d.self.ID {
+		d.selfTransmits++
+		return d.selfTransmits
+	}
+	e := d.members[id]
+	e.transmits++
+	return e.transmits
+}
+
+func encodedSize(m cicadaseam.Member) int {
+	data, err := msgpack.Marshal(&m)
+	if err != nil {
+		return MaxPacket
+	}
+	return len(data)
+}
--- /dev/null
+++ b/internal/member/detect/tick.go
@@ -0,0 +1,223 @@
+package detect
+
+import (
+	"math"
+	"time"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// Tick advances the detector. It should be called several times a period; the
+// packets that it returns are to be sent.
+func (d *Detector) Tick(now time.Time) []Send {
+	d.notePause(now)
+	sends := d.stepProbe(now)
+	d.expireSuspects(now)
+	d.expireOld(now)
+	for seq, r := range d.relays {
+		if now.After(r.expire) {
+			delete(d.relays, seq)
+		}
+	}
+	return sends
+}
+
+// notePause finds out that this process was paused or starved. What it did not
+// hear meanwhile says nothing about others: it forgets its probe and gives
+// each suspect the lost time back.
+func (d *Detector) notePause(now time.Time) {
+	gap := now.Sub(d.lastNow)
+	first := d.lastNow.IsZero()
+	d.lastNow = now
+	if first || gap < 2*d.period {
+		return
+	}
+	d.raiseScore(int(math.Min(float64(gap/d.period), maxScore)))
+	d.probe = nil
+	for _, e := range d.members {
+		if e.m.State == cicadaseam.MemberSuspect {
+			e.suspectAt = e.suspectAt.Add(gap)
+		}
+	}
+}
+
+func (d *Detector) stepProbe(now time.Time) []Send {
+	if d.probe == nil {
+		return d.startProbe(now)
+	}
+	age := now.Sub(d.probe.sentAt)
+	interval := d.period * time.Duration(1+d.score)
+	switch {
+	case age >= interval:
+		d.failProbe(now)
+		return d.startProbe(now)
+	case age >= interval/2 && !d.probe.indirect:
+		return d.probeIndirect()
+	}
+	return nil
+}
+
+func (d *Detector) startProbe(now time.Time) []Send {
+	d.probe = nil
+	target := d.nextTarget()
+	if target == nil {
+		return nil
+	}
+	d.seq++
+	d.counts.Probes++
+	d.probe = &probe{seq: d.seq, id: target.m.ID, sentAt: now}
+	p := d.packet(Ping, target.m)
+	p.Seq = d.seq
+	p.To = target.m.ID
+	return []Send{{Addr: target.m.Addr, Packet: p}}
+}
+
+// nextTarget walks the members in random order. Unreachable members are
+// probed with a small share, so that a lost zone costs little.
+func (d *Detector) nextTarget() *entry {
+	const unreachableShare = 8 // one probe in so many
+	for range d.order {
+		if d.next >= len(d.order) {
+			d.next = 0
+			d.rng.Shuffle(len(d.order), func(i, j int) { d.order[i], d.order[j] = d.order[j], d.order[i] })
+		}
+		e := d.members[d.order[d.next]]
+		d.next++
+		switch e.m.State {
+		case cicadaseam.MemberAlive, cicadaseam.MemberSuspect:
+			return e
+		case cicadaseam.MemberUnreachable:
+			if d.rng.IntN(unreachableShare) == 0 {
+				return e
+			}
+		}
+	}
+	return d.anyUnreachable()
+}
+
+// anyUnreachable keeps a node probing that can reach nobody.
+func (d *Detector) anyUnreachable() *entry {
+	var found *entry
+	count := 0
+	for _, e := range d.sorted() {
+		if e.m.State != cicadaseam.MemberUnreachable {
+			continue
+		}
+		count++
+		if d.rng.IntN(count) == 0 {
+			found = e
+		}
+	}
+	return found
+}
+
+func (d *Detector) probeIndirect() []Send {
+	d.probe.indirect = true
+	target := d.members[d.probe.id]
+	var sends []Send
+	for _, helper := range d.randomAlive(indirectProbes, target.m.ID) {
+		p := d.packet(PingRequest, helper.m)
+		p.Seq = d.probe.seq
+		p.To = target.m.ID
+		p.Subject = target.m.Addr
+		sends = append(sends, Send{Addr: helper.m.Addr, Packet: p})
+	}
+	return sends
+}
+
+func (d *Detector) randomAlive(n int, except string) []*entry {
+	var alive []*entry
+	for _, e := range d.sorted() {
+		if e.m.State == cicadaseam.MemberAlive && e.m.ID != except {
+			alive = append(alive, e)
+		}
+	}
+	d.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(n, len(alive))]
+}
+
+// failProbe takes a missed answer. It raises the own score too: an answer can
+// be missed because this node is slow.
+func (d *Detector) failProbe(now time.Time) {
+	e := d.members[d.probe.id]
+	d.raiseScore(1)
+	if e == nil || e.m.State != cicadaseam.MemberAlive {
+		return
+	}
+	d.counts.Suspicions++
+	m := e.m
+	m.State = cicadaseam.MemberSuspect
+	d.set(now, e, m, d.self.ID)
+}
+
+func (d *Detector) expireSuspects(now time.Time) {
+	for _, e := range d.sorted() {
+		if e.m.State != cicadaseam.MemberSuspect {
+			continue
+		}
+		if now.Sub(e.suspectAt) < d.suspicionTimeout(e) {
+			continue
+		}
+		d.expireSuspect(now, e)
+	}
+}
+
+// expireSuspect ends a suspicion: with death, or with unreachability when most
+// of the zone is silent too.
+func (d *Detector) expireSuspect(now time.Time, e *entry) {
+	m := e.m
+	if d.zoneSilent(m.Place.Zone) {
+		d.counts.Unreachable++
+		e.m.State = cicadaseam.MemberUnreachable
+		e.changed = now
+		d.version++
+		return
+	}
+	d.counts.Deaths++
+	m.State = cicadaseam.MemberDead
+	d.set(now, e, m, "")
+}
+
+func (d *Detector) zoneSilent(zone string) bool {
+	total, silent := 0, 0
+	for _, e := range d.members {
+		if e.m.Place.Zone != zone || e.m.State > cicadaseam.MemberUnreachable {
+			continue
+		}
+		total++
+		if e.m.State != cicadaseam.MemberAlive {
+			silent++
+		}
+	}
+	return silent >= zoneSilentMembers && float64(silent) >= zoneSilentShare*float64(total)
+}
+
+// expireOld forgets tombstones and members unreachable for too long.
+func (d *Detector) expireOld(now time.Time) {
+	for id, e := range d.members {
+		age := now.Sub(e.changed)
+		switch {
+		case e.m.State >= cicadaseam.MemberDead && age > d.tomb:
+			d.forget(id)
+		case e.m.State == cicadaseam.MemberUnreachable && age > d.keep:
+			m := e.m
+			m.State = cicadaseam.MemberDead
+			d.counts.Deaths++
+			d.set(now, e, m, "")
+		}
+	}
+}
+
+func (d *Detector) forget(id string) {
+	delete(d.members, id)
+	d.version++
+	for i, other := range d.order {
+		if other == id {
+			d.order = append(d.order[:i], d.order[i+1:]...)
+			if i < d.next {
+				d.next--
+			}
+			return
+		}
+	}
+}
