--- a/call.go
+++ b/call.go
@@ -39,21 +39,24 @@
 
 // Call is a request on its way from the entry node to the target node.
 type Call struct {
-	ID          string        `msgpack:"i"`
-	Attempt     string        `msgpack:"a"`
-	Service     string        `msgpack:"s"`
-	Route       string        `msgpack:"o"`
-	Class       string        `msgpack:"c"`
-	Priority    int           `msgpack:"p"`
-	Method      string        `msgpack:"m"`
-	Target      string        `msgpack:"u"`
-	Headers     []Header      `msgpack:"h"`
-	Body        []byte        `msgpack:"b"`
-	Budget      time.Duration `msgpack:"t"`
-	Idempotent  bool          `msgpack:"q"`
-	Key         string        `msgpack:"k,omitempty"`
-	Depth       int           `msgpack:"n"`
-	Fingerprint uint64        `msgpack:"f"`
+	ID         string        `msgpack:"i"`
+	Attempt    string        `msgpack:"a"`
+	Service    string        `msgpack:"s"`
+	Route      string        `msgpack:"o"`
+	Class      string        `msgpack:"c"`
+	Priority   int           `msgpack:"p"`
+	Method     string        `msgpack:"m"`
+	Target     string        `msgpack:"u"`
+	Headers    []Header      `msgpack:"h"`
+	Body       []byte        `msgpack:"b"`
+	Budget     time.Duration `msgpack:"t"`
+	Idempotent bool          `msgpack:"q"`
+	Key        string        `msgpack:"k,omitempty"`
+	// Customer is the credential sum of the caller, which separates the keys of
+	// customers.
+	Customer    string `msgpack:"w,omitempty"`
+	Depth       int    `msgpack:"n"`
+	Fingerprint uint64 `msgpack:"f"`
 }
 
 // Answer is the whole answer to one call. Body is complete: a part of an
--- /dev/null
+++ b/internal/config/feed/push.go
@@ -0,0 +1,151 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/config/snapshot"
+	"github.com/cicadaseam/cicadaseam/internal/config/spread"
+	"github.com/cicadaseam/cicadaseam/internal/link/method"
+)
+
+// pushMessage hands records down the tree of Root.
+type pushMessage struct {
+	Root    string              `msgpack:"r"`
+	Records []cicadaseam.Record `msgpack:"c"`
+	Age     time.Duration       `msgpack:"a"`
+}
+
+// pushAnswer tells how far the receiver is.
+type pushAnswer struct {
+	Position cicadaseam.Offset `msgpack:"p"`
+}
+
+// fetchMessage asks for what follows a position.
+type fetchMessage struct {
+	Position cicadaseam.Offset `msgpack:"p"`
+}
+
+// fetchAnswer holds records, or a snapshot when the records are gone.
+type fetchAnswer struct {
+	Records  []cicadaseam.Record `msgpack:"c,omitempty"`
+	Snapshot []byte              `msgpack:"s,omitempty"`
+	Age      time.Duration       `msgpack:"a"`
+}
+
+// push hands records to the children of this node in the tree of root.
+func (f *Feed) push(ctx context.Context, records []cicadaseam.Record, root string) {
+	if f.fanout == 0 {
+		return
+	}
+	message := pushMessage{Root: root, Records: records, Age: f.Head().Age}
+	payload, err := method.Encode(&message)
+	if err != nil {
+		return
+	}
+	for _, child := range spread.Children(f.fleet.View(), root, f.fanout) {
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			f.pushTo(ctx, child, payload, root)
+		}()
+	}
+}
+
+// pushTo hands records to one child, or to its children when it is lost.
+func (f *Feed) pushTo(ctx context.Context, child cicadaseam.Member, payload []byte, root string) {
+	if f.pushOnce(ctx, child.Addr, payload) == nil {
+		return
+	}
+	for _, orphan := range spread.Orphans(f.fleet.View(), root, child.ID, f.fanout) {
+		if err := f.pushOnce(ctx, orphan.Addr, payload); err != nil {
+			continue // the digests on gossip repair the rest
+		}
+	}
+}
+
+func (f *Feed) pushOnce(ctx context.Context, addr string, payload []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	f.counts.PushesOut.Add(1)
+	_, err := f.pool.Request(ctx, addr, method.Push, payload)
+	return err
+}
+
+// servePush takes records from a peer and passes on the new ones.
+func (f *Feed) servePush(payload []byte) ([]byte, error) {
+	var message pushMessage
+	if err := method.Decode(payload, &message); err != nil {
+		return nil, err
+	}
+	f.counts.PushesIn.Add(1)
+	before, _ := f.store.Position()
+	err := f.ingest(context.Background(), message.Records, message.Root)
+	position, _ := f.store.Position()
+	if position > before {
+		f.counts.PushesNew.Add(1)
+	}
+	f.mu.Lock()
+	f.spread.Confirmed(time.Now(), message.Age)
+	f.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return method.Encode(&pushAnswer{Position: position})
+}
+
+// fetch asks a peer for what follows the position of this node.
+func (f *Feed) fetch(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	f.counts.Fetches.Add(1)
+	position, _ := f.store.Position()
+	payload, err := method.Encode(&fetchMessage{Position: position})
+	if err != nil {
+		return err
+	}
+	data, err := f.pool.Request(ctx, addr, method.Fetch, payload)
+	if err != nil {
+		return errors.Wrapf(err, "fetch from %s", addr)
+	}
+	var answer fetchAnswer
+	if err := method.Decode(data, &answer); err != nil {
+		return err
+	}
+	if len(answer.Snapshot) > 0 {
+		return f.decodeSnapshot(answer.Snapshot)
+	}
+	_, err = f.store.Ingest(answer.Records)
+	return err
+}
+
+// serveFetch answers from memory. The log is never asked for a peer.
+func (f *Feed) serveFetch(payload []byte) ([]byte, error) {
+	var message fetchMessage
+	if err := method.Decode(payload, &message); err != nil {
+		return nil, err
+	}
+	answer := fetchAnswer{Age: f.Head().Age}
+	records, ok := f.store.After(message.Position, readLimit)
+	if ok {
+		answer.Records = records
+		return method.Encode(&answer)
+	}
+	data, err := snapshot.Encode(f.store.State())
+	if err != nil {
+		return nil, err
+	}
+	answer.Snapshot = data
+	return method.Encode(&answer)
+}
+
+// Serve answers the push and fetch requests of peers.
+func (f *Feed) Serve(_ context.Context, m uint8, payload []byte) ([]byte, error) {
+	if m == method.Push {
+		return f.servePush(payload)
+	}
+	return f.serveFetch(payload)
+}
--- /dev/null
+++ b/internal/config/spread/spread.go
@@ -0,0 +1,292 @@
+// Package spread decides how a node gets new configuration records and whom it
+// hands them to.
+//
+// # Model
+//
+// Spread is a plain state machine. In each availability zone the first few
+// nodes by rendezvous hash are readers and tail the log; each reader is the
+// root of a tree with a small fan-out over its zone, along which records are
+// pushed. Gossip carries the highest position known and the age of that
+// knowledge. A node that learns of a higher position fetches from the peer
+// that has it; a node whose knowledge grows too old tails the log itself for a
+// while. Nobody is elected: two readers more cost two polls.
+//
+// # Invariants
+//
+//   - With fresh knowledge, only readers of their zone poll the log, so the
+//     load on the log does not grow with the fleet.
+//   - Polls after failures wait for a capped exponential backoff with full
+//     jitter.
+//   - Fetches wait for a short random time, so that a push on its way comes
+//     first, and one fetch is in flight at a time.
+//
+// # Usage
+//
+//	s := spread.New(rng, spread.WithReaders(2))
+//	for _, a := range s.Tick(now, input) { execute(a) }
+package spread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/member/view"
+)
+
+// Defaults.
+const (
+	DefaultReaders  = 2
+	DefaultFanout   = 4
+	DefaultMaxAge   = 5 * time.Second
+	DefaultTakeover = 10 * time.Second
+	fetchGrace      = 150 * time.Millisecond
+	fetchTimeout    = 2 * time.Second
+	backoffFirst    = 200 * time.Millisecond
+	backoffCap      = 15 * time.Second
+	// settle is how long a new node waits for peers before it asks the log.
+	settle = 1500 * time.Millisecond
+)
+
+// ActionKind is the kind of an Action.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// Poll reads the log from the position after Position.
+	Poll ActionKind = iota + 1
+	// Fetch asks the peer at Addr for what follows Position.
+	Fetch
+)
+
+// Action is something to do.
+type Action struct {
+	Kind ActionKind
+	Addr string
+}
+
+// Input is what the state machine sees at a tick.
+type Input struct {
+	View     *view.View
+	Position cicadaseam.Offset
+	Halted   bool
+}
+
+// Spread decides for one node.
+type Spread struct {
+	rng      *rand.Rand
+	readers  int
+	maxAge   time.Duration
+	takeover time.Duration
+
+	startedAt time.Time
+	// confirmedAt is when the log last answered a reader, as far as known.
+	confirmedAt time.Time
+	head        cicadaseam.Offset
+	headAddr    string
+	headSince   time.Time
+	fetchAt     time.Time
+	fetching    bool
+	polling     bool
+	pollAt      time.Time
+	failures    int
+	tailUntil   time.Time
+	ageLimit    time.Duration
+
+	rankView *view.View
+	isReader bool
+}
+
+// Option changes a new Spread.
+type Option func(*Spread)
+
+// WithReaders sets how many nodes of a zone tail the log.
+func WithReaders(n int) Option { return func(s *Spread) { s.readers = n } }
+
+// WithMaxAge sets how old knowledge of the log may grow before a node tails
+// the log itself.
+func WithMaxAge(d time.Duration) Option { return func(s *Spread) { s.maxAge = d } }
+
+// New returns the state machine of one node.
+func New(rng *rand.Rand, opts ...Option) *Spread {
+	s := &Spread{rng: rng, readers: DefaultReaders, maxAge: DefaultMaxAge, takeover: DefaultTakeover}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.drawAgeLimit()
+	return s
+}
+
+// drawAgeLimit spreads the moment at which nodes lose patience over twice the
+// bound, so that they do not all turn to the log at once: the first ones that
+// do refresh the others through gossip.
+func (s *Spread) drawAgeLimit() {
+	s.ageLimit = s.maxAge + time.Duration(s.rng.Int64N(int64(2*s.maxAge)))
+}
+
+// Tick returns what to do now.
+func (s *Spread) Tick(now time.Time, in Input) []Action {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+		s.confirmedAt = now
+	}
+	if in.Halted {
+		return nil
+	}
+	var actions []Action
+	if s.wantsFetch(now, in.Position) {
+		s.fetching = true
+		actions = append(actions, Action{Kind: Fetch, Addr: s.headAddr})
+	}
+	if s.wantsPoll(now, in.View) {
+		s.polling = true
+		actions = append(actions, Action{Kind: Poll})
+	}
+	return actions
+}
+
+func (s *Spread) wantsFetch(now time.Time, position cicadaseam.Offset) bool {
+	if s.fetching || s.headAddr == "" || s.head <= position {
+		return false
+	}
+	return !now.Before(s.fetchAt)
+}
+
+func (s *Spread) wantsPoll(now time.Time, v *view.View) bool {
+	if s.polling || now.Before(s.pollAt) {
+		return false
+	}
+	if now.Sub(s.startedAt) < settle {
+		return false
+	}
+	return s.Reader(v) || s.stale(now)
+}
+
+// Reader reports whether this node tails the log for its zone.
+func (s *Spread) Reader(v *view.View) bool {
+	if v != s.rankView {
+		s.rankView = v
+		zone := v.Self.Place.Zone
+		rank := view.Rank("reader "+zone, v.Live(zone), v.Self.ID)
+		s.isReader = rank >= 0 && rank < s.readers
+	}
+	return s.isReader
+}
+
+// stale reports whether this node tails the log because nobody else seems to.
+func (s *Spread) stale(now time.Time) bool {
+	if now.Before(s.tailUntil) {
+		return true
+	}
+	if now.Sub(s.confirmedAt) <= s.ageLimit {
+		return false
+	}
+	s.tailUntil = now.Add(s.takeover)
+	s.drawAgeLimit()
+	return true
+}
+
+// Heard takes what a peer tells about the configuration.
+func (s *Spread) Heard(now time.Time, addr string, h cicadaseam.Head, position cicadaseam.Offset) {
+	if at := now.Add(-h.Age); h.Position > 0 && at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+	if h.Applied <= position || h.Applied < s.head {
+		return
+	}
+	if h.Applied > s.head || s.head <= position {
+		// News: leave a push that is on its way the time to come first.
+		s.fetchAt = now.Add(fetchGrace + time.Duration(s.rng.Int64N(int64(fetchGrace))))
+	}
+	s.head = h.Applied
+	s.headAddr = addr
+}
+
+// Fetched takes the end of a fetch.
+func (s *Spread) Fetched(now time.Time, ok bool) {
+	s.fetching = false
+	if ok {
+		s.fetchAt = now
+		return
+	}
+	s.headAddr = "" // the next peer that is ahead is asked
+	s.fetchAt = now.Add(time.Duration(s.rng.Int64N(int64(fetchTimeout))))
+}
+
+// Polled takes the end of a poll. An answer without records is good too: it
+// confirms that there is nothing newer.
+func (s *Spread) Polled(now time.Time, ok bool) {
+	s.polling = false
+	if ok {
+		s.failures = 0
+		s.confirmedAt = now
+		s.pollAt = now
+		return
+	}
+	limit := min(backoffFirst<<min(s.failures, 10), backoffCap)
+	s.failures++
+	s.pollAt = now.Add(time.Duration(s.rng.Int64N(int64(limit))))
+}
+
+// Confirmed takes the age of the log's answer that came with a push.
+func (s *Spread) Confirmed(now time.Time, age time.Duration) {
+	if at := now.Add(-age); at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
+// Age returns how old the knowledge of the log is.
+func (s *Spread) Age(now time.Time) time.Duration {
+	if s.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.confirmedAt)
+}
+
+// Head returns the highest position known.
+func (s *Spread) Head(position cicadaseam.Offset) cicadaseam.Offset {
+	return max(s.head, position)
+}
+
+// Children returns whom to push to in the tree of a root over one zone. Every
+// node with the same view computes the same tree.
+func Children(v *view.View, root string, fanout int) []cicadaseam.Member {
+	return childrenOf(v, root, v.Self.ID, fanout)
+}
+
+// Orphans returns the children of a member that could not be reached, so that
+// its branch is not lost.
+func Orphans(v *view.View, root, lost string, fanout int) []cicadaseam.Member {
+	return childrenOf(v, root, lost, fanout)
+}
+
+func childrenOf(v *view.View, root, id string, fanout int) []cicadaseam.Member {
+	order := treeOrder(v, root)
+	at := -1
+	for i, m := range order {
+		if m.ID == id {
+			at = i
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	first := min(at*fanout+1, len(order))
+	last := min(first+fanout, len(order))
+	return order[first:last]
+}
+
+// treeOrder puts the root first and the rest of its zone in rendezvous order.
+func treeOrder(v *view.View, root string) []cicadaseam.Member {
+	rootMember, ok := v.Member(root)
+	if !ok {
+		return nil
+	}
+	order := []cicadaseam.Member{rootMember}
+	for _, m := range view.Order("push "+root, v.Live(rootMember.Place.Zone)) {
+		if m.ID != root {
+			order = append(order, m)
+		}
+	}
+	return order
+}
--- /dev/null
+++ b/internal/daemon/node/settings.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/settings"
+	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
+	"github.com/cicadaseam/cicadaseam/internal/link/mux"
+	"github.com/cicadaseam/cicadaseam/internal/member/detect"
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	Name  string
+	Place cicadaseam.Place
+
+	CallAddr     string
+	LinkAddr     string
+	BackendAddr  string
+	OperatorAddr string
+	// Advertise is the link address that peers use; the listening one when
+	// empty.
+	Advertise string
+
+	LogURL string
+	Token  string
+	Seeds  []string
+
+	ProbePeriod  time.Duration
+	Silence      time.Duration
+	Heartbeat    time.Duration
+	DrainWait    time.Duration
+	ReadyWait    time.Duration
+	BackendLease time.Duration
+	LedgerWindow time.Duration
+	LedgerFlush  time.Duration
+	LogLevel     string
+}
+
+// Fields returns the declaration of all settings.
+func (s *Settings) Fields() []settings.Field {
+	const day = 24 * time.Hour
+	return []settings.Field{
+		settings.Must(settings.String(&s.Name, "node", "name", "", "name of this node, for people")),
+		settings.Must(settings.String(&s.Place.Region, "node", "region", "", "region of this node")),
+		settings.Must(settings.String(&s.Place.Deployment, "node", "deployment", "", "deployment of this node")),
+		settings.Must(settings.String(&s.Place.Zone, "node", "zone", "", "availability zone of this node")),
+		settings.String(&s.CallAddr, "listen", "calls", "127.0.0.1:8080", "address for callers, HTTP"),
+		settings.String(&s.LinkAddr, "listen", "links", "127.0.0.1:7000", "address for other nodes, TCP and UDP"),
+		settings.String(&s.BackendAddr, "listen", "backend", "127.0.0.1:8081", "address for the backend server of this node, HTTP"),
+		settings.String(&s.OperatorAddr, "listen", "operator", "127.0.0.1:8082", "address for operators, HTTP"),
+		settings.String(&s.Advertise, "listen", "advertise", "", "link address that other nodes use, if it differs"),
+		settings.Must(settings.String(&s.LogURL, "log", "url", "", "URL of the platform's log")),
+		settings.String(&s.Token, "operator", "token", "", "bearer token for operators; without one the address must be loopback"),
+		settings.List(&s.Seeds, "member", "seeds", "", "link addresses of nodes to join through, before the log is asked"),
+		settings.Duration(&s.ProbePeriod, "member", "probe-period", detect.DefaultPeriod, 50*time.Millisecond, time.Minute, "time between two probes"),
+		settings.Duration(&s.Silence, "link", "silence", mux.DefaultSilence, 50*time.Millisecond, time.Minute, "time without a byte after which a connection in use is replaced"),
+		settings.Duration(&s.Heartbeat, "link", "heartbeat", mux.DefaultHeartbeat, 10*time.Millisecond, 10*time.Second, "time between heartbeats on a connection in use"),
+		settings.Duration(&s.DrainWait, "shutdown", "drain-wait", 30*time.Second, 0, time.Hour, "longest time to let calls in flight finish"),
+		settings.Duration(&s.ReadyWait, "start", "ready-wait", 15*time.Second, 0, time.Hour, "longest wait for a version when neither peers nor the log answer"),
+		settings.Duration(&s.BackendLease, "backend", "lease", 3*time.Second, 100*time.Millisecond, time.Minute, "time after which a backend server that does not renew is taken as gone"),
+		settings.Duration(&s.LedgerWindow, "ledger", "window", ledger.DefaultWindow, time.Minute, 30*day, "how long an Idempotency-Key lives; well below the retention of the log"),
+		settings.Duration(&s.LedgerFlush, "ledger", "interval", ledger.DefaultInterval, time.Millisecond, time.Second, "time between two appends of one shard"),
+		settings.OneOf(&s.LogLevel, "logging", "level", "info", []string{"debug", "info", "warn", "error"}, "least level of log lines"),
+	}
+}
+
+// Load reads settings from an INI file.
+func Load(file string) (*Settings, error) {
+	s := &Settings{}
+	if err := settings.Load(file, s.Fields()); err != nil {
+		return nil, err
+	}
+	return s, s.check(file)
+}
+
+// check finds faults that one field alone does not show.
+func (s *Settings) check(file string) error {
+	var problems []settings.Problem
+	addrs := []struct{ section, key, addr string }{
+		{"listen", "calls", s.CallAddr}, {"listen", "links", s.LinkAddr},
+		{"listen", "backend", s.BackendAddr}, {"listen", "operator", s.OperatorAddr},
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			problems = append(problems, settings.Problem{Section: a.section, Key: a.key, Text: err.Error()})
+		}
+	}
+	if s.Token == "" && !loopback(s.OperatorAddr) {
+		problems = append(problems, settings.Problem{Section: "operator", Key: "token", Text: "is required, because [listen] operator is not a loopback address"})
+	}
+	if len(problems) > 0 {
+		return &settings.Error{File: file, Problems: problems}
+	}
+	return nil
+}
+
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || (ip != nil && ip.IsLoopback())
+}
--- a/internal/link/mux/conn.go
+++ b/internal/link/mux/conn.go
@@ -36,6 +36,8 @@
 	frames []*frame.Frame
 	// owner is nil for frames that cannot be withdrawn.
 	owner *pending
+	// answer is set on the answer to a request that a handler served.
+	answer bool
 }
 
 // conn is the client end of one connection.
@@ -184,17 +186,12 @@
 
 func (c *conn) writeOut(w *frame.Writer, o outgoing) error {
 	if o.owner != nil && !o.owner.state.CompareAndSwap(stateQueued, stateSent) {
-		return nil
+		o.frames = nil // withdrawn; the batch before it is flushed all the same
 	}
-	for _, f := range o.frames {
-		if err := w.Write(f); err != nil {
-			return err
-		}
-	}
-	if c.out.Len() > 0 {
-		return nil
+	if !writeAll(w, o.frames, c.out.Len() == 0) {
+		return errWrite
 	}
-	return w.Flush()
+	return nil
 }
 
 func (c *conn) readLoop() {
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -16,6 +16,7 @@
 
 var (
 	errSilent = errors.New("silent: no byte within the silence time")
+	errWrite  = errors.New("write failed")
 	errIdle   = errors.New("closed: idle")
 	errClosed = errors.New("closed: pool ended")
 )
@@ -27,6 +28,21 @@
 	Dials      atomic.Int64
 	Silent     atomic.Int64
 	LateFrames atomic.Int64
+	// Methods are the bytes of messages by the number of their method, both
+	// ways, without framing.
+	Methods [maxMethods]atomic.Int64
+}
+
+// maxMethods bounds the numbers of methods.
+const maxMethods = 32
+
+// frameOverhead is about what framing adds to a message and its answer.
+const frameOverhead = 40
+
+func (c *Counters) addMethod(m uint8, request, answer int) {
+	if int(m) < maxMethods {
+		c.Methods[m].Add(int64(request + answer + frameOverhead))
+	}
 }
 
 // Pool holds one connection to each peer.
@@ -105,7 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.request(ctx, method, payload)
+	answer, err := c.request(ctx, method, payload)
+	p.counts.addMethod(method, len(payload), len(answer))
+	return answer, err
 }
 
 // connect returns a live connection; one dial serves all that wait.
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cicadaseam/cicadaseam/internal/base/ring"
 	"github.com/cicadaseam/cicadaseam/internal/link/frame"
@@ -18,6 +20,8 @@
 	conns map[*serverConn]bool
 	ended bool
 	wg    sync.WaitGroup
+	// open counts the requests whose answers are not yet written.
+	open atomic.Int64
 }
 
 // NewServer returns a server that hands requests to handler.
@@ -59,6 +63,22 @@
 	go c.writeLoop()
 }
 
+// Drain returns when every request has been answered and the answers are
+// written, or the context ends. It reports whether all were.
+func (s *Server) Drain(ctx context.Context) bool {
+	const look = 5 * time.Millisecond
+	ticker := time.NewTicker(look)
+	defer ticker.Stop()
+	for s.open.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Close ends all connections and waits for their duties.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -171,17 +191,28 @@
 	}
 	c.running[id] = cancel
 	c.mu.Unlock()
+	c.server.open.Add(1)
 	go c.serve(ctx, id, method, payload)
 }
 
 func (c *serverConn) serve(ctx context.Context, id uint64, method uint8, payload []byte) {
 	defer c.cancel(id)
 	answer, err := c.server.handler.Serve(ctx, method, payload)
+	c.server.counts.addMethod(method, len(payload), len(answer))
 	if err != nil {
-		c.send(frame.Failure, id, []byte(err.Error()))
+		c.answer(frame.Failure, id, []byte(err.Error()))
 		return
 	}
-	c.send(frame.Response, id, answer)
+	c.answer(frame.Response, id, answer)
+}
+
+// answer sends the answer to a request that a handler served.
+func (c *serverConn) answer(kind frame.Kind, id uint64, data []byte) {
+	o := outgoing{frames: frame.Split(kind, id, 0, data), answer: true}
+	if !c.out.Push(o) {
+		c.server.open.Add(-1)
+		c.close()
+	}
 }
 
 func (c *serverConn) cancel(id uint64) {
@@ -205,17 +236,30 @@
 	defer c.server.wg.Done()
 	defer c.close()
 	w := frame.NewWriter(countingWriter{c.netConn, &c.server.counts.BytesOut})
+	answers := int64(0)
+	broken := false
 	for event := range c.out.Events() {
-		for _, f := range event.(outgoing).frames {
-			if err := w.Write(f); err != nil {
-				return
-			}
+		o := event.(outgoing)
+		if o.answer {
+			answers++
 		}
-		if c.out.Len() > 0 {
-			continue
+		broken = broken || !writeAll(w, o.frames, c.out.Len() == 0)
+		if broken {
+			c.close()
 		}
-		if err := w.Flush(); err != nil {
-			return
+		if broken || c.out.Len() == 0 {
+			c.server.open.Add(-answers)
+			answers = 0
+		}
+	}
+}
+
+// writeAll writes frames and, at the end of a batch, flushes.
+func writeAll(w *frame.Writer, frames []*frame.Frame, flush bool) bool {
+	for _, f := range frames {
+		if w.Write(f) != nil {
+			return false
 		}
 	}
+	return !flush || w.Flush() == nil
 }
--- /dev/null
+++ b/internal/member/announce/announce.go
@@ -0,0 +1,263 @@
+// Package announce finds the first peers of a node through the log.
+//
+// # Model
+//
+// A stream of the log holds the addresses of a few live nodes of each zone. A
+// node that starts reads the newest announcements and joins through them. It
+// announces itself only when fewer than wanted live ones of its zone are to be
+// found, after a random delay and another look, so that a herd costs few
+// appends. After that, only the first few nodes of a zone in rendezvous order
+// keep the announcements fresh.
+//
+// # Usage
+//
+//	a := announce.New(log, gossip, rng)
+//	a.Start(ctx)   // joins the fleet
+//	go a.Run(ctx, timers)
+package announce
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+	"github.com/cicadaseam/cicadaseam/internal/member/gossip"
+	"github.com/cicadaseam/cicadaseam/internal/member/view"
+)
+
+// Defaults.
+const (
+	// Wanted is the number of live announcements of each zone.
+	Wanted = 3
+	// MaxRead is the number of newest announcements that are read.
+	MaxRead       = 200
+	format        = 1
+	firstDelay    = 300 * time.Millisecond
+	announceDelay = 3 * time.Second
+	checkPeriod   = 30 * time.Second
+	readTimeout   = 2 * time.Second
+	backoffCap    = 20 * time.Second
+)
+
+// Announcement is a record of the rendezvous stream.
+type Announcement struct {
+	ID   string `msgpack:"i"`
+	Addr string `msgpack:"a"`
+	Zone string `msgpack:"z"`
+}
+
+// Announcer joins the fleet and keeps announcements fresh.
+type Announcer struct {
+	log    cicadaseam.Log
+	gossip *gossip.Gossip
+	rng    *rand.Rand
+	seeds  []string
+	logger *zap.Logger
+}
+
+// Option changes a new Announcer.
+type Option func(*Announcer)
+
+// WithSeeds adds addresses that are tried before the log.
+func WithSeeds(addrs []string) Option { return func(a *Announcer) { a.seeds = addrs } }
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option { return func(a *Announcer) { a.logger = l } }
+
+// New returns an announcer.
+func New(log cicadaseam.Log, g *gossip.Gossip, rng *rand.Rand, opts ...Option) *Announcer {
+	a := &Announcer{log: log, gossip: g, rng: rng, logger: zap.NewNop()}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Encode returns the record of an announcement.
+func Encode(x Announcement) ([]byte, error) {
+	body, err := msgpack.Marshal(&x)
+	return append([]byte{format}, body...), err
+}
+
+// Decode returns the announcement in a record.
+func Decode(data []byte) (Announcement, bool) {
+	var x Announcement
+	if len(data) == 0 || data[0] != format {
+		return x, false
+	}
+	err := msgpack.Unmarshal(data[1:], &x)
+	return x, err == nil && x.Addr != ""
+}
+
+// Run joins the fleet, then keeps the announcements of its zone fresh.
+func (a *Announcer) Run(ctx context.Context, timers *timer.Service) {
+	a.sleep(ctx, a.jitter(firstDelay))
+	for attempt := 0; ctx.Err() == nil && !a.tryJoin(ctx); attempt++ {
+		a.sleep(ctx, a.backoff(attempt))
+	}
+	a.sleep(ctx, a.jitter(announceDelay))
+	a.refresh(ctx)
+	sub := timers.Subscribe(checkPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+			if a.onDuty() {
+				a.refresh(ctx)
+			}
+		}
+	}
+}
+
+// tryJoin joins through seeds or announcements. A node that finds nobody with
+// the log reachable is the first one, which is done too.
+func (a *Announcer) tryJoin(ctx context.Context) bool {
+	if len(a.seeds) > 0 && a.gossip.Join(ctx, a.shuffle(a.seeds)) == nil {
+		return true
+	}
+	list, err := a.read(ctx)
+	if err != nil {
+		a.logger.Warn("announcements unread", zap.Error(err))
+		return len(a.gossip.View().Members) > 0
+	}
+	const triedPeers = 6
+	addrs := a.order(list)
+	if len(addrs) == 0 {
+		return true
+	}
+	err = a.gossip.Join(ctx, addrs[:min(len(addrs), triedPeers)])
+	if err != nil {
+		a.logger.Info("no announced peer answers", zap.Error(err))
+	}
+	return true
+}
+
+// order puts the own zone first and is random within a zone.
+func (a *Announcer) order(list []Announcement) []string {
+	zone := a.gossip.View().Self.Place.Zone
+	a.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Zone == zone && list[j].Zone != zone })
+	var addrs []string
+	seen := map[string]bool{a.gossip.View().Self.Addr: true}
+	for _, x := range list {
+		if !seen[x.Addr] {
+			seen[x.Addr] = true
+			addrs = append(addrs, x.Addr)
+		}
+	}
+	return addrs
+}
+
+// refresh joins through announcements of members that this node does not know,
+// which heals two fleets that never met, and announces itself when few of the
+// zone's announcements live.
+func (a *Announcer) refresh(ctx context.Context) {
+	list, err := a.read(ctx)
+	if err != nil {
+		return
+	}
+	v := a.gossip.View()
+	var strangers []Announcement
+	for _, x := range list {
+		if _, known := v.Member(x.ID); !known {
+			strangers = append(strangers, x)
+		}
+	}
+	const triedStrangers = 2
+	addrs := a.order(strangers)
+	if len(addrs) > 0 {
+		_ = a.gossip.Join(ctx, addrs[:min(len(addrs), triedStrangers)]) // the next round tries others
+	}
+	if a.liveIn(list) < Wanted {
+		a.announce(ctx)
+	}
+}
+
+func (a *Announcer) liveIn(list []Announcement) int {
+	v := a.gossip.View()
+	live := map[string]bool{}
+	for _, x := range list {
+		m, known := v.Member(x.ID)
+		if known && m.State <= cicadaseam.MemberSuspect && m.Place.Zone == v.Self.Place.Zone {
+			live[x.ID] = true
+		}
+	}
+	return len(live)
+}
+
+func (a *Announcer) announce(ctx context.Context) {
+	self := a.gossip.View().Self
+	data, err := Encode(Announcement{ID: self.ID, Addr: self.Addr, Zone: self.Place.Zone})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if _, err := a.log.Append(ctx, cicadaseam.StreamRendezvous, data); err != nil {
+		a.logger.Warn("announcement not confirmed", zap.Error(err))
+	}
+}
+
+// onDuty reports whether this node is one of the first of its zone.
+func (a *Announcer) onDuty() bool {
+	v := a.gossip.View()
+	rank := view.Rank("announce", v.Live(v.Self.Place.Zone), v.Self.ID)
+	return rank >= 0 && rank < Wanted
+}
+
+func (a *Announcer) read(ctx context.Context) ([]Announcement, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	first, next, err := a.log.Bounds(ctx, cicadaseam.StreamRendezvous)
+	if err != nil || next <= first {
+		return nil, err
+	}
+	from := first
+	if next-first > MaxRead {
+		from = next - MaxRead
+	}
+	records, err := a.log.Read(ctx, cicadaseam.StreamRendezvous, from, MaxRead, 0)
+	if err != nil {
+		return nil, err
+	}
+	var list []Announcement
+	for _, r := range records {
+		if x, ok := Decode(r.Data); ok {
+			list = append(list, x)
+		}
+	}
+	return list, nil
+}
+
+func (a *Announcer) shuffle(addrs []string) []string {
+	out := append([]string(nil), addrs...)
+	a.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+func (a *Announcer) jitter(d time.Duration) time.Duration {
+	return time.Duration(a.rng.Int64N(int64(d)))
+}
+
+// backoff is capped exponential with full jitter.
+func (a *Announcer) backoff(attempt int) time.Duration {
+	limit := min(firstDelay<<min(attempt, 10), backoffCap)
+	return a.jitter(limit)
+}
+
+func (a *Announcer) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -40,11 +40,11 @@
 	changed   time.Time
 	firstSeen time.Time
 	// suspicion of this member
-	suspectAt  time.Time
-	accusers   map[string]bool
-	transmits  int
-	queued     bool
-	ackedAt    time.Time
+	suspectAt time.Time
+	accusers  map[string]bool
+	transmits int
+	queued    bool
+	ackedAt   time.Time
 }
 
 // probe is the one probe in flight.
@@ -53,6 +53,7 @@
 	id       string
 	sentAt   time.Time
 	indirect bool
+	answered bool
 }
 
 // relay is a probe that this node makes for another one.
@@ -87,14 +88,14 @@
 	queue   []string // ids of updates to spread
 	// selfTransmits counts how often the news about this node was sent.
 	selfTransmits int
-	score   int
-	lastNow time.Time
-	version uint64
-	digests map[string]uint64
-	zones   []string
-	zoneAt  int
-	leaving bool
-	counts  Counters
+	score         int
+	lastNow       time.Time
+	version       uint64
+	digests       map[string]uint64
+	zones         []string
+	zoneAt        int
+	leaving       bool
+	counts        Counters
 	// mismatch counts answers in a row whose zone digest differs.
 	mismatch map[string]int
 	syncs    []Sync
@@ -252,6 +253,11 @@
 	if !supersedes(m, e.m) {
 		return
 	}
+	if m.State == cicadaseam.MemberDead && rank(e.m.State) == rank(cicadaseam.MemberSuspect) && d.zoneSilent(m.Place.Zone) {
+		// The sender did not yet see that the whole zone is silent.
+		d.markUnreachable(now, e)
+		return
+	}
 	d.set(now, e, m, by)
 }
 
--- a/internal/member/detect/receive.go
+++ b/internal/member/detect/receive.go
@@ -42,9 +42,12 @@
 	answer := d.packet(kind, d.memberOf(p))
 	answer.Seq = p.Seq
 	answer.To = p.To
-	if _, known := d.members[p.From]; !known {
+	e, known := d.members[p.From]
+	if !known {
 		answer.Updates = append(answer.Updates, d.self)
+		return []Send{{Addr: p.FromAddr, Packet: answer}}
 	}
+	answer.Updates = withDoubt(answer.Updates, e.m)
 	return []Send{{Addr: p.FromAddr, Packet: answer}}
 }
 
@@ -77,19 +80,13 @@
 	}
 	e := d.members[d.probe.id]
 	d.raiseScore(-1)
-	d.holdProbe()
+	d.probe.answered = true
 	if e != nil {
 		d.heard(now, e)
 	}
 	return nil
 }
 
-// holdProbe keeps an answered probe in place until its period ends.
-func (d *Detector) holdProbe() {
-	d.probe.id = ""
-	d.probe.indirect = true
-}
-
 // heard takes the sign of life of a probed member. An alive member that others
 // suspect refutes by itself; one that this node holds unreachable is alive.
 func (d *Detector) heard(now time.Time, e *entry) {
@@ -111,12 +108,9 @@
 	if e == nil || e.m.State >= cicadaseam.MemberDead || e.m.Addr != p.FromAddr {
 		return
 	}
-	m := e.m
-	m.State = cicadaseam.MemberDead
-	d.counts.Deaths++
-	d.set(now, e, m, "")
+	d.declareDead(now, e)
 	if d.probe != nil && d.probe.id == p.To {
-		d.holdProbe()
+		d.probe.answered = true
 	}
 }
 
--- a/internal/member/detect/tick.go
+++ b/internal/member/detect/tick.go
@@ -48,6 +48,10 @@
 	age := now.Sub(d.probe.sentAt)
 	interval := d.period * time.Duration(1+d.score)
 	switch {
+	case d.probe.answered && age >= d.period:
+		return d.startProbe(now)
+	case d.probe.answered:
+		return nil
 	case age >= interval:
 		d.failProbe(now)
 		return d.startProbe(now)
@@ -69,9 +73,19 @@
 	p := d.packet(Ping, target.m)
 	p.Seq = d.seq
 	p.To = target.m.ID
+	p.Updates = withDoubt(p.Updates, target.m)
 	return []Send{{Addr: target.m.Addr, Packet: p}}
 }
 
+// withDoubt tells a member first what is thought of it, so that it can refute
+// at once.
+func withDoubt(updates []cicadaseam.Member, m cicadaseam.Member) []cicadaseam.Member {
+	if m.State == cicadaseam.MemberAlive {
+		return updates
+	}
+	return append(updates, m)
+}
+
 // nextTarget walks the members in random order. Unreachable members are
 // probed with a small share, so that a lost zone costs little.
 func (d *Detector) nextTarget() *entry {
@@ -165,16 +179,27 @@
 // expireSuspect ends a suspicion: with death, or with unreachability when most
 // of the zone is silent too.
 func (d *Detector) expireSuspect(now time.Time, e *entry) {
-	m := e.m
-	if d.zoneSilent(m.Place.Zone) {
-		d.counts.Unreachable++
-		e.m.State = cicadaseam.MemberUnreachable
-		e.changed = now
-		d.version++
+	if d.zoneSilent(e.m.Place.Zone) {
+		d.markUnreachable(now, e)
 		return
 	}
-	d.counts.Deaths++
+	d.declareDead(now, e)
+}
+
+func (d *Detector) markUnreachable(now time.Time, e *entry) {
+	if e.m.State == cicadaseam.MemberUnreachable {
+		return
+	}
+	d.counts.Unreachable++
+	e.m.State = cicadaseam.MemberUnreachable
+	e.changed = now
+	d.version++
+}
+
+func (d *Detector) declareDead(now time.Time, e *entry) {
+	m := e.m
 	m.State = cicadaseam.MemberDead
+	d.counts.Deaths++
 	d.set(now, e, m, "")
 }
 
@@ -200,10 +225,7 @@
 		case e.m.State >= cicadaseam.MemberDead && age > d.tomb:
 			d.forget(id)
 		case e.m.State == cicadaseam.MemberUnreachable && age > d.keep:
-			m := e.m
-			m.State = cicadaseam.MemberDead
-			d.counts.Deaths++
-			d.set(now, e, m, "")
+			d.declareDead(now, e)
 		}
 	}
 }
--- /dev/null
+++ b/internal/platform/logclient/logclient.go
@@ -0,0 +1,127 @@
+// Package logclient is the platform's append-only log by HTTP.
+//
+// # Model
+//
+// A Client makes one HTTP request for each operation and never repeats an
+// append by itself: callers repeat with the same id in the record. Any error
+// but a trimmed read is an *cicadaseam.UnavailableError, which says nothing
+// about whether an append took effect.
+//
+// # Usage
+//
+//	log := logclient.New("http://10.0.0.5:9000")
+//	offset, err := log.Append(ctx, cicadaseam.StreamConfig, data)
+package logclient
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// Appended is the answer to an append.
+type Appended struct {
+	Offset cicadaseam.Offset `json:"offset"`
+}
+
+// Page is the answer to a read.
+type Page struct {
+	Records []cicadaseam.Record `json:"records"`
+}
+
+// Bounds is the answer to a question for the bounds.
+type Bounds struct {
+	First cicadaseam.Offset `json:"first"`
+	Next  cicadaseam.Offset `json:"next"`
+}
+
+// Failure is the answer to a request that failed. First is set when the read
+// records are trimmed.
+type Failure struct {
+	Reason string            `json:"reason"`
+	First  cicadaseam.Offset `json:"first,omitempty"`
+}
+
+// Client is a cicadaseam.Log. It is safe for concurrent use.
+type Client struct {
+	base *sling.Sling
+}
+
+var _ cicadaseam.Log = (*Client)(nil)
+
+const (
+	dialTimeout   = time.Second
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 30 * time.Second
+	idleConns     = 16
+)
+
+// New returns a client of the log at a URL.
+func New(url string) *Client {
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:   idleConns,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: headerTimeout,
+	}
+	return &Client{base: sling.New().Client(&http.Client{Transport: transport}).Base(url)}
+}
+
+// onceReader keeps the HTTP client from repeating an append by itself.
+type onceReader struct {
+	*bytes.Reader
+}
+
+// Append implements cicadaseam.Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (cicadaseam.Offset, error) {
+	var out Appended
+	s := c.base.New().Post("/v1/streams/" + stream).Body(onceReader{bytes.NewReader(data)})
+	err := c.do(ctx, s, "append", stream, 0, &out)
+	return out.Offset, err
+}
+
+type readQuery struct {
+	From  uint64 `url:"from"`
+	Limit int    `url:"limit"`
+	Wait  string `url:"wait"`
+}
+
+// Read implements cicadaseam.Log.
+func (c *Client) Read(ctx context.Context, stream string, from cicadaseam.Offset, limit int, wait time.Duration) ([]cicadaseam.Record, error) {
+	var out Page
+	s := c.base.New().Get("/v1/streams/" + stream).QueryStruct(readQuery{From: uint64(from), Limit: limit, Wait: wait.String()})
+	err := c.do(ctx, s, "read", stream, from, &out)
+	return out.Records, err
+}
+
+// Bounds implements cicadaseam.Log.
+func (c *Client) Bounds(ctx context.Context, stream string) (first, next cicadaseam.Offset, err error) {
+	var out Bounds
+	err = c.do(ctx, c.base.New().Get("/v1/bounds/"+stream), "bounds", stream, 0, &out)
+	return out.First, out.Next, err
+}
+
+func (c *Client) do(ctx context.Context, s *sling.Sling, op, stream string, from cicadaseam.Offset, out any) error {
+	req, err := s.Request()
+	if err != nil {
+		return &cicadaseam.UnavailableError{Op: op, Stream: stream, Reason: err.Error()}
+	}
+	var failure Failure
+	resp, err := s.Do(req.WithContext(ctx), out, &failure)
+	if err != nil {
+		return &cicadaseam.UnavailableError{Op: op, Stream: stream, Reason: err.Error()}
+	}
+	if resp.StatusCode == http.StatusGone {
+		return &cicadaseam.TrimmedError{Stream: stream, From: from, First: failure.First}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &cicadaseam.UnavailableError{Op: op, Stream: stream, Reason: failure.Reason}
+	}
+	return nil
+}
