--- /dev/null
+++ b/cmd/cicadaseam/main.go
@@ -0,0 +1,13 @@
+// Command cicadaseam runs and operates the nodes of a service mesh that act on
+// one configuration. See cicadaseam --help.
+package main
+
+import (
+	"os"
+
+	"github.com/cicadaseam/cicadaseam/internal/command/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/call/ledger/client.go
+++ b/internal/call/ledger/client.go
@@ -41,13 +41,15 @@
 	return &Client{fleet: fleet, pool: pool, local: local}
 }
 
-// Submit asks the writers of the key's shard in rendezvous order. Asking a
-// second one is harmless: an operation may be in the stream twice.
+// Submit asks the writers of the key's shard in rendezvous order, and at last
+// the own one. Asking a second one is harmless: an operation may be in the
+// stream twice.
 func (c *Client) Submit(ctx context.Context, op Op) (Result, error) {
 	v := c.fleet.View()
 	order := view.Order(shardName(op.Key.Shard()), v.Live(""))
-	var last error = &UnavailableError{Shard: op.Key.Shard(), Reason: "no writer"}
-	for _, m := range order[:min(len(order), claimTries)] {
+	writers := append(order[:min(len(order), claimTries)], v.Self)
+	var last error
+	for _, m := range writers {
 		if ctx.Err() != nil {
 			break
 		}
@@ -61,7 +63,7 @@
 	if errors.As(last, &unavailable) {
 		return Result{}, unavailable
 	}
-	return Result{}, &UnavailableError{Shard: op.Key.Shard(), Reason: last.Error()}
+	return Result{}, &UnavailableError{Shard: op.Key.Shard(), Reason: fmt.Sprintf("no writer answers: %v", last)}
 }
 
 func (c *Client) submitTo(ctx context.Context, local bool, addr string, op Op) (Result, error) {
--- /dev/null
+++ b/internal/command/cli/cli.go
@@ -0,0 +1,133 @@
+// Package cli is the command line of cicadaseam.
+//
+// # Usage
+//
+//	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+//
+// Exit codes are 0 when the command did what it was asked, 1 when it failed,
+// and 2 when it was used wrongly.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// commands are the subcommands.
+type commands struct {
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a deployment of the brief in one process and check its promises"`
+	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
+	Logd     *logdCommand     `arg:"subcommand:logd" help:"run the stand-in log"`
+	Backend  *backendCommand  `arg:"subcommand:backend" help:"run a stand-in backend server"`
+	Call     *callCommand     `arg:"subcommand:call" help:"make calls through a node"`
+	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish a change of the tree"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show the fleet as one node sees it"`
+	Config   *configCommand   `arg:"subcommand:config" help:"show the effective settings of a scope and where each comes from"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"report service-level burn"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"print a commented example of a node's settings"`
+}
+
+// Description implements arg.Described.
+func (commands) Description() string {
+	return "cicadaseam keeps a fleet of mesh proxies on one coherent, current configuration."
+}
+
+// Epilogue implements arg.Epilogued.
+func (commands) Epilogue() string {
+	return `examples:
+  cicadaseam demo --deployment instituto --seconds 10
+  cicadaseam logd --listen 127.0.0.1:9000
+  cicadaseam node examples/peachtree.node.ini
+  cicadaseam backend --service status-portal --node http://127.0.0.1:8081
+  cicadaseam publish examples/peachtree.ini --wait
+  cicadaseam call /status/claim --token passenger-token --count 100
+  cicadaseam status
+  cicadaseam config --zone atl-north --service status-portal --class passenger
+  cicadaseam report --format html > burn.html
+  cicadaseam settings > node.ini
+
+exit codes: 0 done, 1 failed, 2 bad use`
+}
+
+// command is a subcommand.
+type command interface {
+	run(ctx context.Context, s streams) error
+}
+
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// usageError is a use that the parser cannot find wrong.
+type usageError struct {
+	reason string
+}
+
+// Error implements error.
+func (e *usageError) Error() string { return e.reason }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var c commands
+	parser, err := arg.NewParser(arg.Config{Program: "cicadaseam", Out: errOut}, &c)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	switch err := parser.Parse(args); {
+	case err == arg.ErrHelp:
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...) // the names are the parser's own
+		return exitDone
+	case err != nil:
+		fmt.Fprintf(errOut, "cicadaseam: %v\nuse cicadaseam --help\n", err)
+		return exitUsage
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(errOut)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return exitCode(chosen.run(ctx, streams{out: out, err: errOut}), errOut)
+}
+
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintf(errOut, "cicadaseam: %v\n", err)
+	if _, usage := err.(*usageError); usage {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// newLogger returns a logger of JSON lines.
+func newLogger(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, &usageError{reason: err.Error()}
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	enc.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/internal/command/cli/daemons.go
@@ -0,0 +1,175 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam/internal/daemon/demo"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logd"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
+	"github.com/cicadaseam/cicadaseam/internal/platform/logclient"
+)
+
+type demoCommand struct {
+	Deployment  string        `arg:"--deployment" default:"peachtree" help:"peachtree or instituto"`
+	Seconds     int           `arg:"--seconds" default:"12" help:"how long callers call, 4 to 3600"`
+	Rate        int           `arg:"--rate" default:"400" help:"calls a second, 1 to 20000"`
+	ServiceTime time.Duration `arg:"--service-time" default:"2ms" help:"how long a backend server takes"`
+	Log         string        `arg:"--log" help:"write log lines of this level to standard error"`
+}
+
+func (c *demoCommand) run(ctx context.Context, s streams) error {
+	if _, known := demo.Deployments[c.Deployment]; !known {
+		return &usageError{reason: fmt.Sprintf("unknown deployment %q: peachtree or instituto", c.Deployment)}
+	}
+	if c.Seconds < 4 || c.Seconds > 3600 || c.Rate < 1 || c.Rate > 20000 {
+		return &usageError{reason: "--seconds is 4 to 3600 and --rate 1 to 20000"}
+	}
+	logger := zap.NewNop()
+	if c.Log != "" {
+		l, err := newLogger(s.err, c.Log)
+		if err != nil {
+			return err
+		}
+		logger = l
+	}
+	return demo.Run(ctx, s.out, demo.Config{
+		Deployment: c.Deployment, Seconds: c.Seconds, Rate: c.Rate, ServiceTime: c.ServiceTime, Logger: logger,
+	})
+}
+
+type nodeCommand struct {
+	Settings string `arg:"positional,required" help:"INI file with the node's settings"`
+}
+
+func (c *nodeCommand) run(ctx context.Context, s streams) error {
+	settings, err := node.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s.err, settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(*settings, logclient.New(settings.LogURL), node.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+type logdCommand struct {
+	Listen      string        `arg:"--listen" default:"127.0.0.1:9000" help:"address to listen on"`
+	Retention   time.Duration `arg:"--retention" default:"24h" help:"how long records are kept, 0 for ever"`
+	AppendRate  float64       `arg:"--append-rate" default:"500" help:"appends a second, 0 for no bound"`
+	Delay       time.Duration `arg:"--delay" help:"delay of each request"`
+	LoseAnswers float64       `arg:"--lose-answers" help:"share of appends whose answer is lost after they took effect"`
+	OutageAfter time.Duration `arg:"--outage-after" help:"start an outage after this time"`
+	OutageFor   time.Duration `arg:"--outage-for" default:"10s" help:"how long that outage lasts"`
+}
+
+func (c *logdCommand) run(ctx context.Context, s streams) error {
+	if c.LoseAnswers < 0 || c.LoseAnswers > 1 {
+		return &usageError{reason: "--lose-answers is a share from 0 to 1"}
+	}
+	store := logstore.New(logstore.WithRetention(c.Retention), logstore.WithAppendRate(c.AppendRate))
+	faults := logstore.Faults{Delay: c.Delay, LoseAnswers: c.LoseAnswers}
+	store.SetFaults(faults)
+	if c.OutageAfter > 0 {
+		go runOutage(ctx, store, faults, c.OutageAfter, c.OutageFor)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "logd")
+	}
+	fmt.Fprintf(s.out, "logd listens on %s\n", l.Addr())
+	return serveUntil(ctx, l, logd.New(store))
+}
+
+func runOutage(ctx context.Context, store *logstore.Store, faults logstore.Faults, after, length time.Duration) {
+	if !sleep(ctx, after) {
+		return
+	}
+	down := faults
+	down.Outage = true
+	store.SetFaults(down)
+	sleep(ctx, length)
+	store.SetFaults(faults)
+}
+
+type backendCommand struct {
+	Service     string        `arg:"--service,required" help:"name of the service"`
+	Node        string        `arg:"--node,required" help:"URL of the backend address of its node"`
+	Listen      string        `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	Name        string        `arg:"--name" help:"name of this server"`
+	Slots       int           `arg:"--slots" default:"20" help:"requests at once"`
+	Connections int           `arg:"--connections" default:"120" help:"connections at once"`
+	ServiceTime time.Duration `arg:"--service-time" default:"2ms" help:"how long a request takes"`
+	Fail        float64       `arg:"--fail" help:"share of requests that fail"`
+	Slow        float64       `arg:"--slow" help:"multiply the service time"`
+	Crash       bool          `arg:"--crash" help:"let a request with /crash in its path crash the server"`
+}
+
+// drainGrace is the time for requests that are on their way at a drain.
+const drainGrace = 2 * time.Second
+
+func (c *backendCommand) run(ctx context.Context, s streams) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "backend")
+	}
+	name := c.Name
+	if name == "" {
+		name = c.Service + "@" + l.Addr().String()
+	}
+	b := backend.New(c.Service, backend.WithName(name), backend.WithSlots(c.Slots),
+		backend.WithConnections(c.Connections), backend.WithServiceTime(c.ServiceTime))
+	b.SetFaults(backend.Faults{Slow: c.Slow, Fail: c.Fail, CrashOnPath: c.Crash})
+	b.Start(l, c.Node)
+	fmt.Fprintf(s.out, "backend %s listens on %s\n", name, l.Addr())
+	for ctx.Err() == nil && !b.Crashed() {
+		sleep(ctx, 50*time.Millisecond)
+	}
+	if b.Crashed() {
+		return errors.New("crashed by a request")
+	}
+	drainCtx, cancel := context.WithTimeout(context.Background(), drainGrace)
+	defer cancel()
+	if err := b.Drain(drainCtx); err == nil {
+		b.WaitIdle(drainCtx)
+	}
+	b.Stop()
+	return nil
+}
+
+// serveUntil serves until the context ends.
+func serveUntil(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close() // makes Serve return
+	}()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/command/cli/operate.go
@@ -0,0 +1,246 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/settings"
+	"github.com/cicadaseam/cicadaseam/internal/config/changefile"
+	"github.com/cicadaseam/cicadaseam/internal/config/tree"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/api"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+)
+
+// operator is how to reach a node's operator address.
+type operator struct {
+	Node  string `arg:"--node" default:"http://127.0.0.1:8082" help:"URL of a node's operator address"`
+	Token string `arg:"--token,env:CICADASEAM_TOKEN" help:"operators' bearer token"`
+}
+
+func (o operator) client() *api.Client { return api.New(o.Node, o.Token) }
+
+type publishCommand struct {
+	operator
+	File    string        `arg:"positional,required" help:"INI file with the change"`
+	ID      string        `arg:"--id" help:"id of the change; the same id gives the same verdict"`
+	Base    uint64        `arg:"--base" help:"version that the change is based on; the node's current one without it and without base in the file"`
+	Wait    bool          `arg:"--wait" help:"show how many nodes have the version until all do"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"longest wait"`
+}
+
+// verdictError reports a change that was not accepted.
+type verdictError struct {
+	verdict cicadaseam.Verdict
+}
+
+// Error implements error.
+func (e *verdictError) Error() string {
+	if e.verdict == cicadaseam.VerdictUnknown {
+		return "the verdict is unknown: publish again with the same id to learn it"
+	}
+	return "the change was not accepted: " + e.verdict.String()
+}
+
+func (c *publishCommand) run(ctx context.Context, s streams) error {
+	f, err := changefile.Load(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	client := c.client()
+	if err := c.complete(ctx, client, f); err != nil {
+		return err
+	}
+	d, err := client.Publish(ctx, f.Change)
+	if err != nil {
+		return errors.Wrapf(err, "publish change %s (ask again with --id %s)", f.Change.ID, f.Change.ID)
+	}
+	fmt.Fprintf(s.out, "id       %s\nversion  %d\nverdict  %s\n", d.ID, d.Version, d.Verdict)
+	for _, fault := range d.Faults {
+		fmt.Fprintf(s.out, "  %s: %s\n", f.Place(fault), fault)
+	}
+	if d.Verdict != cicadaseam.VerdictAccepted {
+		return &verdictError{verdict: d.Verdict}
+	}
+	if !c.Wait {
+		return nil
+	}
+	return waitForVersion(ctx, client, s.out, d.Version)
+}
+
+// complete fills in what the file leaves out.
+func (c *publishCommand) complete(ctx context.Context, client *api.Client, f *changefile.File) error {
+	if c.ID != "" {
+		f.Change.ID = c.ID
+	}
+	if f.Change.ID == "" {
+		f.Change.ID = uuid.NewString()
+	}
+	if c.Base > 0 {
+		f.Change.Base = cicadaseam.Offset(c.Base)
+		return nil
+	}
+	if f.HasBase {
+		return nil
+	}
+	t, err := client.Tree(ctx)
+	f.Change.Base = t.Version
+	return errors.Wrap(err, "read the current version")
+}
+
+// waitForVersion shows how many nodes are at a version until all are.
+func waitForVersion(ctx context.Context, client *api.Client, out io.Writer, version cicadaseam.Offset) error {
+	const look = 200 * time.Millisecond
+	shown := ""
+	for {
+		f, err := client.Fleet(ctx)
+		if err != nil {
+			return errors.Wrap(err, "wait for all nodes")
+		}
+		have, all := countVersion(f, version)
+		if line := fmt.Sprintf("%d of %d nodes are at version %d or past it", have, all, version); line != shown {
+			fmt.Fprintln(out, line)
+			shown = line
+		}
+		if have == all {
+			return nil
+		}
+		if !sleep(ctx, look) {
+			return errors.Newf("%d of %d nodes did not reach version %d in time", all-have, all, version)
+		}
+	}
+}
+
+func countVersion(f api.Fleet, version cicadaseam.Offset) (have, all int) {
+	for _, m := range append(f.Members, f.Self) {
+		if m.State > cicadaseam.MemberUnreachable {
+			continue
+		}
+		all++
+		if m.Answered && m.Version >= version {
+			have++
+		}
+	}
+	return have, all
+}
+
+type statusCommand struct {
+	operator
+	JSON bool `arg:"--json" help:"write JSON"`
+}
+
+func (c *statusCommand) run(ctx context.Context, s streams) error {
+	f, err := c.client().Fleet(ctx)
+	if err != nil {
+		return errors.Wrap(err, "status")
+	}
+	if c.JSON {
+		return writeJSON(s.out, f)
+	}
+	ready := "ready"
+	if !f.Ready {
+		ready = "NOT READY"
+	}
+	fmt.Fprintf(s.out, "seen by %s at %s: %s, last word of the log %.1f s ago\n", f.Self.Name, f.At.UTC().Format(time.RFC3339), ready, f.AgeOfLog)
+	if f.Halted != "" {
+		fmt.Fprintf(s.out, "HALTED: %s\n", f.Halted)
+	}
+	members := append([]api.Member{f.Self}, f.Members...)
+	sort.SliceStable(members, func(i, j int) bool {
+		if members[i].Place.Zone != members[j].Place.Zone {
+			return members[i].Place.Zone < members[j].Place.Zone
+		}
+		return members[i].Name < members[j].Name
+	})
+	tw := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ZONE\tNODE\tSTATE\tVERSION\tSERVICE\tSLOTS\tBACKEND\tHEARD\tADDRESS")
+	for _, m := range members {
+		version := "no answer"
+		if m.Answered {
+			version = fmt.Sprint(m.Version)
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%.1fs\t%s\n", m.Place.Zone, m.Name, m.State, version, m.Backend.Service, m.Backend.Slots, m.Backend.State, m.HeardSeconds, m.Addr)
+	}
+	return tw.Flush()
+}
+
+type configCommand struct {
+	operator
+	Deployment string `arg:"--deployment" help:"deployment"`
+	Zone       string `arg:"--zone" help:"availability zone"`
+	Service    string `arg:"--service" help:"service"`
+	Class      string `arg:"--class" help:"priority class"`
+	JSON       bool   `arg:"--json" help:"write JSON"`
+}
+
+func (c *configCommand) run(ctx context.Context, s streams) error {
+	list, err := c.client().Config(ctx, tree.Target{Deployment: c.Deployment, Zone: c.Zone, Service: c.Service, Class: c.Class})
+	if err != nil {
+		return errors.Wrap(err, "config")
+	}
+	if c.JSON {
+		return writeJSON(s.out, list)
+	}
+	tw := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "SETTING\tVALUE\tFROM\tUNIT")
+	for _, x := range list {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\n", x.Key, x.Value, x.Scope, x.Unit)
+	}
+	return tw.Flush()
+}
+
+type reportCommand struct {
+	operator
+	Format string `arg:"--format" default:"table" help:"table, json or html"`
+}
+
+func (c *reportCommand) run(ctx context.Context, s streams) error {
+	if c.Format != "table" && c.Format != "json" && c.Format != "html" {
+		return &usageError{reason: "--format is table, json or html"}
+	}
+	r, err := c.client().Burn(ctx)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	switch c.Format {
+	case "json":
+		return r.WriteJSON(s.out)
+	case "html":
+		return r.WriteHTML(s.out)
+	}
+	return r.WriteTable(s.out)
+}
+
+type settingsCommand struct{}
+
+func (c *settingsCommand) run(_ context.Context, s streams) error {
+	var n node.Settings
+	fmt.Fprintln(s.out, "# Settings of a cicadaseam node.")
+	return settings.Example(s.out, n.Fields())
+}
+
+func writeJSON(w io.Writer, body any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(body)
+}
+
+// readBody returns the body that a flag names: text, or @FILE.
+func readBody(flag string) ([]byte, error) {
+	if flag == "" || flag[0] != '@' {
+		return []byte(flag), nil
+	}
+	data, err := os.ReadFile(flag[1:])
+	return data, errors.Wrap(err, "read the body")
+}
--- a/internal/config/feed/push.go
+++ b/internal/config/feed/push.go
@@ -46,6 +46,8 @@
 	if err != nil {
 		return
 	}
+	// A push outlives the read that brought the records.
+	ctx = context.WithoutCancel(ctx)
 	for _, child := range spread.Children(f.fleet.View(), root, f.fanout) {
 		f.wg.Add(1)
 		go func() {
--- /dev/null
+++ b/internal/daemon/demo/fleet.go
@@ -0,0 +1,174 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+)
+
+// member is a node with its backend server.
+type member struct {
+	node    *node.Node
+	backend *backend.Server
+	service string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// fleet is all nodes of a deployment in this process.
+type fleet struct {
+	members []*member
+}
+
+const (
+	anyPort      = "127.0.0.1:0"
+	startTimeout = 15 * time.Second
+)
+
+// startFleet starts a node beside each backend server of a deployment.
+func startFleet(d Deployment, log cicadaseam.Log, logger *zap.Logger, serviceTime time.Duration) (*fleet, error) {
+	f := &fleet{}
+	i := 0
+	for _, s := range d.Services {
+		for range s.Servers {
+			m, err := startMember(d, s, i, log, logger, serviceTime)
+			if err != nil {
+				f.stop()
+				return nil, err
+			}
+			f.members = append(f.members, m)
+			i++
+		}
+	}
+	return f, nil
+}
+
+func startMember(d Deployment, s Service, i int, log cicadaseam.Log, logger *zap.Logger, serviceTime time.Duration) (*member, error) {
+	name := fmt.Sprintf("%s-%d", s.Name, i)
+	var settings node.Settings
+	if err := node.Defaults(&settings); err != nil {
+		return nil, err
+	}
+	settings.Name = name
+	settings.Place = d.place(i)
+	settings.CallAddr, settings.LinkAddr = anyPort, anyPort
+	settings.BackendAddr, settings.OperatorAddr = anyPort, anyPort
+	n, err := node.New(settings, log, node.WithLogger(logger), node.WithSeed(uint64(i)+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "start node %s", name)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m := &member{node: n, service: s.Name, stop: stop, done: make(chan error, 1)}
+	go func() { m.done <- n.Run(ctx) }()
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a backend server")
+	}
+	m.backend = backend.New(s.Name, backend.WithName(name), backend.WithSlots(s.Slots),
+		backend.WithConnections(s.Connections), backend.WithServiceTime(serviceTime))
+	m.backend.Start(l, "http://"+n.Addrs().Backend)
+	return m, nil
+}
+
+// waitReady waits until every node takes calls and knows every other one with
+// its backend server.
+func (f *fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, m := range f.members {
+		select {
+		case <-m.node.Ready():
+		case <-ctx.Done():
+			return errors.Newf("node of %s did not become ready", m.backend)
+		}
+	}
+	for {
+		if f.complete() {
+			return nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return errors.New("the nodes did not find each other")
+		}
+	}
+}
+
+func (f *fleet) complete() bool {
+	for _, m := range f.members {
+		if m.node.ReadyBackends() < len(f.members) {
+			return false
+		}
+	}
+	return true
+}
+
+// waitVersion returns when every node acts on a version.
+func (f *fleet) waitVersion(ctx context.Context, version cicadaseam.Offset) error {
+	for _, m := range f.members {
+		for {
+			// The channel is taken before the look, so that no change is missed.
+			changed := m.node.Store().Changed()
+			if m.node.Store().Table().Version >= version {
+				break
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return errors.Newf("node %s is at version %d, not %d", m.backend, m.node.Store().Table().Version, version)
+			}
+		}
+	}
+	return nil
+}
+
+// controlBytes returns the control bytes of all nodes so far.
+func (f *fleet) controlBytes() int64 {
+	total := int64(0)
+	for _, m := range f.members {
+		total += m.node.Metrics().Value("control.bytes")
+	}
+	return total
+}
+
+// runs returns how often a token or key was run, at all backend servers.
+func (f *fleet) runs() map[string]int64 {
+	total := map[string]int64{}
+	for _, m := range f.members {
+		for token, n := range m.backend.AllRuns() {
+			total[token] += n
+		}
+	}
+	return total
+}
+
+// stop drains all nodes at once and stops their backend servers. It returns
+// the first error of a drain.
+func (f *fleet) stop() error {
+	for _, m := range f.members {
+		m.stop()
+	}
+	var first error
+	var wg sync.WaitGroup
+	for _, m := range f.members {
+		if err := <-m.done; err != nil && first == nil {
+			first = err
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m.backend.Kill()
+		}()
+	}
+	wg.Wait()
+	return first
+}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -269,6 +269,22 @@
 // Store returns the configuration of the node.
 func (n *Node) Store() *store.Store { return n.store }
 
+// Publisher returns the publisher of the node.
+func (n *Node) Publisher() *publish.Publisher { return n.publisher }
+
+// ReadyBackends returns how many nodes with a ready backend server this node
+// knows, itself included.
+func (n *Node) ReadyBackends() int {
+	v := n.gossip.View()
+	count := 0
+	for _, m := range v.Live("") {
+		if m.Backend.State == cicadaseam.BackendReady {
+			count++
+		}
+	}
+	return count
+}
+
 // Metrics returns the metrics of the node.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
--- a/internal/daemon/node/settings.go
+++ b/internal/daemon/node/settings.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// Defaults sets every setting that has a default.
+func Defaults(s *Settings) error {
+	required := "[node]\nname=-\nregion=-\ndeployment=-\nzone=-\n[log]\nurl=-\n"
+	return settings.LoadBytes("defaults", []byte(required), s.Fields())
+}
+
 // Load reads settings from an INI file.
 func Load(file string) (*Settings, error) {
 	s := &Settings{}
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -387,3 +387,11 @@
 
 // String names the server.
 func (s *Server) String() string { return fmt.Sprintf("%s (%s)", s.name, s.service) }
+
+// WaitIdle returns when no request runs or the context ends.
+func (s *Server) WaitIdle(ctx context.Context) {
+	const look = 5 * time.Millisecond
+	for s.running.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(look)
+	}
+}
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -39,7 +39,7 @@
 	MaxRead       = 200
 	format        = 1
 	firstDelay    = 300 * time.Millisecond
-	announceDelay = 3 * time.Second
+	announceDelay = 2 * time.Second
 	checkPeriod   = 30 * time.Second
 	readTimeout   = 2 * time.Second
 	backoffCap    = 20 * time.Second
@@ -103,6 +103,10 @@
 	}
 	a.sleep(ctx, a.jitter(announceDelay))
 	a.refresh(ctx)
+	for attempt := 0; ctx.Err() == nil && len(a.gossip.View().Members) == 0; attempt++ {
+		a.sleep(ctx, a.backoff(attempt))
+		a.refresh(ctx)
+	}
 	sub := timers.Subscribe(checkPeriod)
 	defer sub.Stop()
 	for {
--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -17,6 +17,7 @@
 	DefaultTombstone    = 5 * time.Minute
 	DefaultUnreachable  = 2 * time.Hour
 	indirectProbes      = 3
+	gossipFanout        = 2
 	suspicionMultiplier = 3
 	suspicionConfirms   = 3
 	retransmitFactor    = 3
--- a/internal/member/detect/tick.go
+++ b/internal/member/detect/tick.go
@@ -22,6 +22,23 @@
 	return sends
 }
 
+// Gossip returns packets that carry news to a few random members. Without
+// news there are none. It should be called several times a period, so that
+// news travels faster than probes.
+func (d *Detector) Gossip() []Send {
+	if len(d.queue) == 0 {
+		return nil
+	}
+	var sends []Send
+	for _, e := range d.randomAlive(gossipFanout, "") {
+		p := d.packet(Spread, e.m)
+		if len(p.Updates) > 0 {
+			sends = append(sends, Send{Addr: e.m.Addr, Packet: p})
+		}
+	}
+	return sends
+}
+
 // notePause finds out that this process was paused or starved. What it did not
 // hear meanwhile says nothing about others: it forgets its probe and gives
 // each suspect the lost time back.
--- a/internal/member/gossip/gossip.go
+++ b/internal/member/gossip/gossip.go
@@ -207,6 +207,7 @@
 
 func (g *Gossip) tick(now time.Time) {
 	g.send(g.detector.Tick(now))
+	g.send(g.detector.Gossip())
 	g.startSync(now)
 }
 
