--- a/internal/call/ledger/shard.go
+++ b/internal/call/ledger/shard.go
@@ -24,6 +24,7 @@
 
 // Op is one operation on a key.
 type Op struct {
+	//lint:ignore U1000 read by msgpack
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind    OpKind
@@ -38,6 +39,7 @@
 
 // Batch is one record of a shard.
 type Batch struct {
+	//lint:ignore U1000 read by msgpack
 	_msgpack struct{} `msgpack:",as_array"`
 
 	// Floor is the time at or before which the writer takes no keys any more.
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -84,7 +84,6 @@
 	confirmedAt time.Time
 	head        cicadaseam.Offset
 	headAddr    string
-	headSince   time.Time
 	fetchAt     time.Time
 	fetching    bool
 	polling     bool
--- a/internal/daemon/demo/callers.go
+++ b/internal/daemon/demo/callers.go
@@ -35,8 +35,8 @@
 type tally struct {
 	mu       sync.Mutex
 	outcomes map[string]map[string]int // class, then outcome or reason
-	through  *hdr.Histogram // repeatable calls
-	once     *hdr.Histogram // calls that run at most once
+	through  *hdr.Histogram            // repeatable calls
+	once     *hdr.Histogram            // calls that run at most once
 	direct   *hdr.Histogram
 	sent     []sent
 	broken   []string
--- /dev/null
+++ b/internal/daemon/node/fleet_test.go
@@ -0,0 +1,273 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/examples"
+	"github.com/cicadaseam/cicadaseam/internal/call/entry"
+	"github.com/cicadaseam/cicadaseam/internal/config/changefile"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
+	"github.com/cicadaseam/cicadaseam/internal/fake/network"
+)
+
+// host is a node and its backend server in memory.
+type host struct {
+	ip      string
+	place   cicadaseam.Place
+	service string
+	node    *node.Node
+	backend *backend.Server
+	stop    context.CancelFunc
+	done    chan error
+	killed  bool
+}
+
+// fleet is a few hosts on a network in memory, in virtual time.
+type fleet struct {
+	t      *testing.T
+	net    *network.Network
+	log    *logstore.Store
+	hosts  []*host
+	client *http.Client
+	opts   []node.Option
+	tune   func(*node.Settings)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	reason  string
+	header  http.Header
+	body    string
+	err     error
+}
+
+var (
+	services = []string{"status-portal", "claims-desk", "flight-records"}
+	zones    = []string{"atl-north", "atl-south", "atl-east", "atl-west"}
+)
+
+// withFleet runs a test on n hosts with the example tree published. Host i has
+// a backend server of service i%3 and is in zone (i/3)%4.
+func withFleet(t *testing.T, n int, seed uint64, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: network.New(seed), log: logstore.New(logstore.WithSeed(seed))}
+		f.client = f.clientOf("192.0.2.1")
+		for i := range n {
+			f.add(i, seed)
+		}
+		f.publishTree()
+		f.settle()
+		test(f)
+		f.close()
+	})
+}
+
+func (f *fleet) clientOf(ip string) *http.Client {
+	h := f.net.Host(ip)
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 32,
+		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return h.Dial(ctx, addr) },
+	}}
+}
+
+func (f *fleet) add(i int, seed uint64) {
+	h := &host{
+		ip:      fmt.Sprintf("10.0.0.%d", i+1),
+		place:   cicadaseam.Place{Region: "us-southeast", Deployment: "georgia-east", Zone: zones[(i/3)%len(zones)]},
+		service: services[i%len(services)],
+	}
+	f.hosts = append(f.hosts, h)
+	f.start(h, seed+uint64(i))
+}
+
+// start starts the node and the backend server of a host.
+func (f *fleet) start(h *host, seed uint64) {
+	var s node.Settings
+	require.NoError(f.t, node.Defaults(&s))
+	s.Name, s.Place = h.ip, h.place
+	s.CallAddr, s.LinkAddr = h.ip+":8080", h.ip+":7000"
+	s.BackendAddr, s.OperatorAddr = h.ip+":8081", h.ip+":8082"
+	if f.tune != nil {
+		f.tune(&s)
+	}
+	view := f.net.Host(h.ip)
+	opts := append([]node.Option{node.WithNetwork(view), node.WithSeed(seed), node.WithBackendDialer(view.Dial)}, f.opts...)
+	n, err := node.New(s, f.log, opts...)
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	h.node, h.stop, h.killed = n, stop, false
+	h.done = make(chan error, 1)
+	go func() { h.done <- n.Run(ctx) }()
+	f.startBackend(h)
+}
+
+func (f *fleet) startBackend(h *host) {
+	l, err := f.net.Host(h.ip).Listen(h.ip + ":9000")
+	require.NoError(f.t, err)
+	h.backend = backend.New(h.service, backend.WithName(h.ip), backend.WithClient(f.clientOf(h.ip)))
+	h.backend.Start(l, "http://"+h.ip+":8081")
+}
+
+// kill ends a host at once: its node, its backend server, its connections.
+func (f *fleet) kill(h *host) {
+	h.killed = true
+	f.net.Kill(h.ip)
+	h.backend.Kill()
+	h.stop()
+	<-h.done
+}
+
+func (f *fleet) publishTree() {
+	data, err := examples.Files.ReadFile("peachtree.ini")
+	require.NoError(f.t, err)
+	file, err := changefile.Parse("peachtree.ini", data)
+	require.NoError(f.t, err)
+	file.Change.ID = uuid.NewString()
+	d, err := f.hosts[0].node.Publisher().Publish(context.Background(), file.Change)
+	require.NoError(f.t, err)
+	require.Equal(f.t, cicadaseam.VerdictAccepted, d.Verdict)
+}
+
+// settle waits until every living node is ready and knows every other one.
+func (f *fleet) settle() {
+	f.t.Helper()
+	require.True(f.t, f.eventually(30*time.Second, func() bool {
+		living := 0
+		for _, h := range f.hosts {
+			if !h.killed {
+				living++
+			}
+		}
+		for _, h := range f.hosts {
+			if !h.killed && (!isReady(h.node) || h.node.ReadyBackends() != living) {
+				return false
+			}
+		}
+		return true
+	}), "the fleet did not settle")
+}
+
+func isReady(n *node.Node) bool {
+	select {
+	case <-n.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// eventually waits in virtual time.
+func (f *fleet) eventually(limit time.Duration, condition func() bool) bool {
+	const step = 20 * time.Millisecond
+	for range limit / step {
+		if condition() {
+			return true
+		}
+		time.Sleep(step)
+	}
+	return condition()
+}
+
+// call makes one call through a host.
+func (f *fleet) call(h *host, method, path, class string, headers ...string) reply {
+	return f.callBody(h, method, path, class, "", headers...)
+}
+
+func (f *fleet) callBody(h *host, method, path, class, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, "http://"+h.ip+":8080"+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+class+"-token")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{
+		status: resp.StatusCode, outcome: resp.Header.Get(entry.HeaderOutcome), reason: resp.Header.Get(entry.HeaderReason),
+		header: resp.Header, body: string(data), err: err,
+	}
+}
+
+// publish publishes a change of one deadline through a host.
+func (f *fleet) publish(h *host, value string) cicadaseam.Decision {
+	_, version := h.node.Store().Tree()
+	d, err := h.node.Publisher().Publish(context.Background(), cicadaseam.Change{
+		ID: uuid.NewString(), Base: version,
+		Edits: []cicadaseam.Edit{{Path: "scope:georgia-east/*/claims-desk", Key: "deadline", Value: value}},
+	})
+	require.NoError(f.t, err)
+	return d
+}
+
+// runs returns how often a token or key was run at all backend servers.
+func (f *fleet) runs(token string) int64 {
+	total := int64(0)
+	for _, h := range f.hosts {
+		total += h.backend.Runs(token)
+	}
+	return total
+}
+
+// atVersion reports whether every living node acts on a version.
+func (f *fleet) atVersion(v cicadaseam.Offset) bool {
+	for _, h := range f.hosts {
+		if !h.killed && h.node.Store().Table().Version < v {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		if h.killed {
+			continue
+		}
+		h.backend.Kill()
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		if !h.killed {
+			<-h.done
+		}
+	}
+	f.client.CloseIdleConnections()
+	for _, h := range f.hosts {
+		f.net.Kill(h.ip)
+	}
+	f.net.Kill("192.0.2.1")
+}
+
+func newKey(t *testing.T) string {
+	id, err := uuid.NewV7()
+	require.NoError(t, err)
+	return id.String()
+}
+
+func decodeEcho(t *testing.T, body string) backend.Echo {
+	var e backend.Echo
+	require.NoError(t, json.Unmarshal([]byte(body), &e), body)
+	return e
+}
--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -22,6 +22,8 @@
 	suspicionConfirms   = 3
 	retransmitFactor    = 3
 	maxScore            = 8
+	// maxStride bounds the steps in which members are drawn from the order.
+	maxStride = 97
 	// zoneSilentShare is the share of a zone that must be silent at once for
 	// its members to become unreachable instead of dead.
 	zoneSilentShare   = 0.6
@@ -44,7 +46,7 @@
 	suspectAt time.Time
 	accusers  map[string]bool
 	transmits int
-	queued    bool
+	size      int // encoded, in bytes
 	ackedAt   time.Time
 }
 
@@ -86,17 +88,20 @@
 	seq     uint64
 	probe   *probe
 	relays  map[uint64]relay
-	queue   []string // ids of updates to spread
-	// selfTransmits counts how often the news about this node was sent.
-	selfTransmits int
-	score         int
-	lastNow       time.Time
-	version       uint64
-	digests       map[string]uint64
-	zones         []string
-	zoneAt        int
-	leaving       bool
-	counts        Counters
+	news    news
+	// own is the entry of this node itself.
+	own     *entry
+	score   int
+	lastNow time.Time
+	// lastExpire is when old members were last looked for.
+	lastExpire time.Time
+	suspects   map[string]bool
+	version    uint64
+	digests    map[string]uint64
+	zones      []string
+	zoneAt     int
+	leaving    bool
+	counts     Counters
 	// mismatch counts answers in a row whose zone digest differs.
 	mismatch map[string]int
 	syncs    []Sync
@@ -130,6 +135,8 @@
 		tomb:     DefaultTombstone,
 		keep:     DefaultUnreachable,
 		members:  map[string]*entry{},
+		suspects: map[string]bool{},
+		own:      &entry{},
 		relays:   map[uint64]relay{},
 		digests:  map[string]uint64{},
 		mismatch: map[string]int{},
@@ -312,6 +319,7 @@
 	switch {
 	case m.State == cicadaseam.MemberSuspect && was != cicadaseam.MemberSuspect:
 		e.suspectAt = now
+		d.suspects[m.ID] = true
 		e.accusers = map[string]bool{}
 		d.accuse(e, by)
 	case m.State == cicadaseam.MemberAlive:
--- /dev/null
+++ b/internal/member/detect/news.go
@@ -0,0 +1,93 @@
+package detect
+
+import (
+	"math"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// news holds the ids of members whose updates are to be spread, in buckets by
+// how often they were sent. The least sent go first, and an id whose entry has
+// moved on is dropped when it is met, so that a step costs no more than the
+// updates of one packet, however many wait.
+type news struct {
+	buckets [][]string
+	count   int
+}
+
+func (n *news) push(transmits int, id string) {
+	for len(n.buckets) <= transmits {
+		n.buckets = append(n.buckets, nil)
+	}
+	n.buckets[transmits] = append(n.buckets[transmits], id)
+	n.count++
+}
+
+// pop returns the next id and its bucket.
+func (n *news) pop() (id string, transmits int, ok bool) {
+	for i, b := range n.buckets {
+		if len(b) == 0 {
+			continue
+		}
+		n.buckets[i] = b[1:]
+		n.count--
+		return b[0], i, true
+	}
+	return "", 0, false
+}
+
+// enqueue spreads the news about a member from the start.
+func (d *Detector) enqueue(id string) {
+	e := d.entryOf(id)
+	e.transmits = 0
+	e.size = encodedSize(e.m)
+	d.news.push(0, id)
+}
+
+// entryOf returns the entry of a member or of this node itself.
+func (d *Detector) entryOf(id string) *entry {
+	if id == d.self.ID {
+		d.own.m = d.self
+		return d.own
+	}
+	return d.members[id]
+}
+
+// takeUpdates returns the least spread updates that fit in a packet.
+func (d *Detector) takeUpdates() []cicadaseam.Member {
+	limit := retransmitFactor * int(math.Ceil(math.Log10(float64(len(d.members)+2))+1))
+	room := MaxPacket - updateReserve
+	var out []cicadaseam.Member
+	var again []*entry
+	for d.news.count > 0 {
+		id, transmits, _ := d.news.pop()
+		e := d.entryOf(id)
+		if e == nil || e.transmits != transmits {
+			continue // a later copy of this id is queued, or it is forgotten
+		}
+		if e.size > room {
+			d.news.push(transmits, id)
+			break
+		}
+		room -= e.size
+		e.transmits++
+		out = append(out, e.m)
+		again = append(again, e)
+	}
+	for _, e := range again {
+		if e.transmits < limit {
+			d.news.push(e.transmits, e.m.ID)
+		}
+	}
+	return out
+}
+
+func encodedSize(m cicadaseam.Member) int {
+	data, err := msgpack.Marshal(&m)
+	if err != nil {
+		return MaxPacket
+	}
+	return len(data)
+}
--- a/internal/member/detect/packet.go
+++ b/internal/member/detect/packet.go
@@ -37,6 +37,7 @@
 
 // Packet is one datagram between nodes.
 type Packet struct {
+	//lint:ignore U1000 read by msgpack
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind     Kind
--- a/internal/member/detect/receive.go
+++ b/internal/member/detect/receive.go
@@ -1,13 +1,8 @@
 package detect
 
 import (
-	"math"
-	"slices"
-	"sort"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cicadaseam/cicadaseam"
 )
 
@@ -139,97 +134,7 @@
 		p.Zones = []ZoneDigest{{Zone: zone, Digest: d.digests[zone]}}
 	}
 	if kind != PingRequest {
-		p.Updates = d.takeUpdates(to.ID)
+		p.Updates = d.takeUpdates()
 	}
 	return p
 }
-
-// enqueue spreads the news about a member from the start.
-func (d *Detector) enqueue(id string) {
-	if id == d.self.ID {
-		if !slices.Contains(d.queue, id) {
-			d.queue = append(d.queue, id)
-		}
-		d.selfTransmits = 0
-		return
-	}
-	e := d.members[id]
-	e.transmits = 0
-	if !e.queued {
-		e.queued = true
-		d.queue = append(d.queue, id)
-	}
-}
-
-// takeUpdates returns the least spread updates that fit in a packet.
-func (d *Detector) takeUpdates(to string) []cicadaseam.Member {
-	if len(d.queue) == 0 {
-		return nil
-	}
-	sort.SliceStable(d.queue, func(i, j int) bool { return d.transmits(d.queue[i]) < d.transmits(d.queue[j]) })
-	limit := retransmitFactor * int(math.Ceil(math.Log10(float64(len(d.members)+2))+1))
-	room := MaxPacket - updateReserve
-	var out []cicadaseam.Member
-	var keep []string
-	for _, id := range d.queue {
-		m, ok := d.lookup(id)
-		if !ok {
-			continue
-		}
-		size := encodedSize(m)
-		if size > room {
-			keep = append(keep, id)
-			continue
-		}
-		room -= size
-		out = append(out, m)
-		if d.countTransmit(id) < limit {
-			keep = append(keep, id)
-			continue
-		}
-		if e := d.members[id]; e != nil {
-			e.queued = false
-		}
-	}
-	d.queue = keep
-	return out
-}
-
-func (d *Detector) lookup(id string) (cicadaseam.Member, bool) {
-	if id == d.self.ID {
-		return d.self, true
-	}
-	e := d.members[id]
-	if e == nil {
-		return cicadaseam.Member{}, false
-	}
-	return e.m, true
-}
-
-func (d *Detector) transmits(id string) int {
-	if id == d.self.ID {
-		return d.selfTransmits
-	}
-	if e := d.members[id]; e != nil {
-		return e.transmits
-	}
-	return 0
-}
-
-func (d *Detector) countTransmit(id string) int {
-	if id == d.self.ID {
-		d.selfTransmits++
-		return d.selfTransmits
-	}
-	e := d.members[id]
-	e.transmits++
-	return e.transmits
-}
-
-func encodedSize(m cicadaseam.Member) int {
-	data, err := msgpack.Marshal(&m)
-	if err != nil {
-		return MaxPacket
-	}
-	return len(data)
-}
--- a/internal/member/detect/tick.go
+++ b/internal/member/detect/tick.go
@@ -13,11 +13,9 @@
 	d.notePause(now)
 	sends := d.stepProbe(now)
 	d.expireSuspects(now)
-	d.expireOld(now)
-	for seq, r := range d.relays {
-		if now.After(r.expire) {
-			delete(d.relays, seq)
-		}
+	if now.Sub(d.lastExpire) >= d.period {
+		d.lastExpire = now
+		d.expireOld(now)
 	}
 	return sends
 }
@@ -26,7 +24,7 @@
 // news there are none. It should be called several times a period, so that
 // news travels faster than probes.
 func (d *Detector) Gossip() []Send {
-	if len(d.queue) == 0 {
+	if d.news.count == 0 {
 		return nil
 	}
 	var sends []Send
@@ -51,8 +49,8 @@
 	}
 	d.raiseScore(int(math.Min(float64(gap/d.period), maxScore)))
 	d.probe = nil
-	for _, e := range d.members {
-		if e.m.State == cicadaseam.MemberSuspect {
+	for id := range d.suspects {
+		if e := d.members[id]; e != nil {
 			e.suspectAt = e.suspectAt.Add(gap)
 		}
 	}
@@ -156,15 +154,24 @@
 	return sends
 }
 
+// randomAlive draws up to n alive members, walking the probe order from a
+// random place.
 func (d *Detector) randomAlive(n int, except string) []*entry {
+	if len(d.order) == 0 {
+		return nil
+	}
 	var alive []*entry
-	for _, e := range d.sorted() {
-		if e.m.State == cicadaseam.MemberAlive && e.m.ID != except {
+	start := d.rng.IntN(len(d.order))
+	stride := 1 + d.rng.IntN(maxStride)
+	seen := map[string]bool{except: true}
+	for i := 0; i < len(d.order) && len(alive) < n; i++ {
+		id := d.order[(start+i*stride)%len(d.order)]
+		if e := d.members[id]; !seen[id] && e.m.State == cicadaseam.MemberAlive {
+			seen[id] = true
 			alive = append(alive, e)
 		}
 	}
-	d.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	return alive[:min(n, len(alive))]
+	return alive
 }
 
 // failProbe takes a missed answer. It raises the own score too: an answer can
@@ -182,14 +189,15 @@
 }
 
 func (d *Detector) expireSuspects(now time.Time) {
-	for _, e := range d.sorted() {
-		if e.m.State != cicadaseam.MemberSuspect {
+	for id := range d.suspects {
+		e := d.members[id]
+		if e == nil || e.m.State != cicadaseam.MemberSuspect {
+			delete(d.suspects, id)
 			continue
 		}
-		if now.Sub(e.suspectAt) < d.suspicionTimeout(e) {
-			continue
+		if now.Sub(e.suspectAt) >= d.suspicionTimeout(e) {
+			d.expireSuspect(now, e)
 		}
-		d.expireSuspect(now, e)
 	}
 }
 
@@ -234,8 +242,14 @@
 	return silent >= zoneSilentMembers && float64(silent) >= zoneSilentShare*float64(total)
 }
 
-// expireOld forgets tombstones and members unreachable for too long.
+// expireOld forgets tombstones, members unreachable for too long, and relayed
+// probes without an answer.
 func (d *Detector) expireOld(now time.Time) {
+	for seq, r := range d.relays {
+		if now.After(r.expire) {
+			delete(d.relays, seq)
+		}
+	}
 	for id, e := range d.members {
 		age := now.Sub(e.changed)
 		switch {
