--- /dev/null
+++ b/internal/daemon/node/failure_test.go
@@ -0,0 +1,316 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
+)
+
+// hostsOf returns the hosts with a backend server of a service.
+func (f *fleet) hostsOf(service string) []*host {
+	var out []*host
+	for _, h := range f.hosts {
+		if h.service == service && !h.killed {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// background makes calls through random hosts until the returned function is
+// called, which returns all replies.
+func (f *fleet) background(rate int, one func(i int) reply) func() []reply {
+	ctx, stop := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var replies []reply
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for i := 0; ctx.Err() == nil; i++ {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r := one(i)
+				mu.Lock()
+				defer mu.Unlock()
+				replies = append(replies, r)
+			}()
+			time.Sleep(time.Second / time.Duration(rate))
+		}
+	}()
+	return func() []reply {
+		stop()
+		wg.Wait()
+		return replies
+	}
+}
+
+func TestDrainingBackendGetsNoNewWorkAndLosesNone(t *testing.T) {
+	withFleet(t, 9, 1, func(f *fleet) {
+		leaving := f.hostsOf("status-portal")[0]
+		replies := f.background(200, func(i int) reply {
+			return f.call(f.hosts[i%len(f.hosts)], "GET", "/status/claim", "passenger")
+		})
+		time.Sleep(2 * time.Second)
+		// The log goes down and a change is on its way while the drain begins.
+		f.log.SetFaults(logstore.Faults{Outage: true})
+		go func() { f.publish(f.hosts[4], "3s") }()
+		require.NoError(t, leaving.backend.Drain(context.Background()))
+		time.Sleep(2 * time.Second)
+		before := leaving.backend.Stats().Runs
+		time.Sleep(3 * time.Second)
+		require.Equal(t, before, leaving.backend.Stats().Runs, "new work after 2 s")
+		f.log.SetFaults(logstore.Faults{})
+		time.Sleep(2 * time.Second)
+		for _, r := range replies() {
+			require.NoError(t, r.err)
+			require.Equal(t, 200, r.status, "%s %s", r.outcome, r.reason)
+		}
+	})
+}
+
+func TestNodeShutdownCutsNothing(t *testing.T) {
+	withFleet(t, 9, 2, func(f *fleet) {
+		leaving := f.hostsOf("status-portal")[1]
+		f.hostsOf("status-portal")[1].backend.SetFaults(backend.Faults{Slow: 100}) // 200 ms a call
+		replies := f.background(200, func(i int) reply {
+			h := f.hosts[i%len(f.hosts)]
+			if h == leaving {
+				h = f.hosts[0]
+			}
+			return f.call(h, "GET", "/status/claim", "passenger")
+		})
+		time.Sleep(time.Second)
+		leaving.killed = true
+		leaving.stop()
+		require.NoError(t, <-leaving.done, "the node drains in its time")
+		leaving.backend.Kill()
+		time.Sleep(time.Second)
+		for _, r := range replies() {
+			require.NoError(t, r.err)
+			require.Equal(t, 200, r.status, "%s %s", r.outcome, r.reason)
+		}
+	})
+}
+
+func TestRestartedNodeIsNotBehindItsPeers(t *testing.T) {
+	withFleet(t, 6, 3, func(f *fleet) {
+		h := f.hosts[2]
+		f.kill(h)
+		d := f.publish(f.hosts[0], "4s")
+		require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
+		f.log.SetFaults(logstore.Faults{Outage: true}) // it has only its peers
+		f.start(h, 99)
+		h.killed = false
+		for range 500 {
+			r := f.call(h, "GET", "/status/claim", "passenger")
+			if r.err == nil && r.status == 200 {
+				require.GreaterOrEqual(t, h.node.Store().Table().Version, d.Version)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.log.SetFaults(logstore.Faults{})
+		f.settle()
+		require.GreaterOrEqual(t, h.node.Store().Table().Version, d.Version)
+	})
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	withFleet(t, 9, 4, func(f *fleet) {
+		caller := f.hosts[1]
+		for range 50 {
+			require.Equal(t, 200, f.call(caller, "GET", "/status/claim", "passenger").status)
+		}
+		for _, h := range f.hosts {
+			if h != caller {
+				f.net.Silence(caller.ip, h.ip)
+			}
+		}
+		worst := time.Duration(0)
+		for i := range 50 {
+			began := time.Now()
+			token := fmt.Sprintf("after-%d", i)
+			r := f.call(caller, "GET", "/status/claim", "passenger", backend.HeaderToken, token)
+			require.Equal(t, 200, r.status, "%s %s", r.outcome, r.reason)
+			require.Equal(t, token, decodeEcho(t, r.body).Token)
+			worst = max(worst, time.Since(began))
+		}
+		t.Logf("longest call over silent connections: %s", worst)
+		// The deadline of the route is 1 s; the settings find silence in less.
+		require.Less(t, worst, time.Second)
+		time.Sleep(20 * time.Second)
+		require.Zero(t, caller.node.Metrics().Value("member.suspect"))
+		require.Equal(t, int64(len(f.hosts)-1), caller.node.Metrics().Value("member.alive"), "no peer was declared dead")
+	})
+}
+
+func TestRequestThatCrashesBackendsIsStopped(t *testing.T) {
+	withFleet(t, 18, 5, func(f *fleet) {
+		portals := f.hostsOf("status-portal")
+		for _, h := range portals {
+			h.backend.SetFaults(backend.Faults{CrashOnPath: true})
+		}
+		innocent := f.background(300, func(i int) reply {
+			return f.call(f.hosts[i%len(f.hosts)], "GET", fmt.Sprintf("/status/claim/%d", i%3), "passenger")
+		})
+		time.Sleep(3 * time.Second)
+		refused := 0
+		for i := range 12 {
+			r := f.call(f.hosts[i], "GET", "/status/crash/now", "passenger")
+			if r.reason == "quarantine" {
+				refused++
+				require.Equal(t, "notrun", r.outcome)
+				require.NotEmpty(t, r.header.Get("Retry-After"))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		crashed := 0
+		for _, h := range portals {
+			if h.backend.Crashed() {
+				crashed++
+			}
+		}
+		t.Logf("%d of %d backend servers crashed, %d of 12 sends refused", crashed, len(portals), refused)
+		require.LessOrEqual(t, crashed, 2)
+		require.GreaterOrEqual(t, refused, 10)
+		time.Sleep(time.Second)
+		innocent()
+		// Requests that were only in flight at the same time are served.
+		require.True(t, f.eventually(70*time.Second, func() bool {
+			for i := range 3 {
+				if f.call(f.hosts[i], "GET", fmt.Sprintf("/status/claim/%d", i), "passenger").status != 200 {
+					return false
+				}
+			}
+			return true
+		}))
+		// The mark ends by itself.
+		time.Sleep(3 * time.Minute)
+		for _, h := range portals {
+			h.backend.SetFaults(backend.Faults{})
+		}
+		require.Equal(t, 200, f.call(f.hosts[1], "GET", "/status/crash/now", "passenger").status)
+	})
+}
+
+func TestOperatorsRace(t *testing.T) {
+	withFleet(t, 6, 6, func(f *fleet) {
+		_, base := f.hosts[0].node.Store().Tree()
+		var mu sync.Mutex
+		verdicts := map[cicadaseam.Verdict]int{}
+		var wg sync.WaitGroup
+		for i, h := range f.hosts {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				d, err := h.node.Publisher().Publish(context.Background(), cicadaseam.Change{
+					ID: uuid.NewString(), Base: base,
+					Edits: []cicadaseam.Edit{{Path: "scope:georgia-east/*/claims-desk", Key: "deadline", Value: fmt.Sprintf("%ds", i+1)}},
+				})
+				require.NoError(t, err)
+				mu.Lock()
+				defer mu.Unlock()
+				verdicts[d.Verdict]++
+			}()
+		}
+		wg.Wait()
+		require.Equal(t, map[cicadaseam.Verdict]int{cicadaseam.VerdictAccepted: 1, cicadaseam.VerdictConflict: 5}, verdicts)
+		time.Sleep(2 * time.Second)
+		digests := map[uint64]bool{}
+		for _, h := range f.hosts {
+			_, digest := h.node.Store().Position()
+			digests[digest] = true
+		}
+		require.Len(t, digests, 1)
+	})
+}
+
+func TestPublishThroughLostAnswers(t *testing.T) {
+	withFleet(t, 6, 7, func(f *fleet) {
+		f.log.SetFaults(logstore.Faults{LoseAnswers: 0.8, LoseAppends: 0.3})
+		before := f.log.Stats().Appends
+		for i := range 10 {
+			d := f.publish(f.hosts[i%6], fmt.Sprintf("%dms", 3000+i))
+			require.Equal(t, cicadaseam.VerdictAccepted, d.Verdict)
+			again, known := f.hosts[i%6].node.Store().Decision(d.ID)
+			require.True(t, known)
+			require.Equal(t, d, again, "the same id has the same verdict")
+			require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
+		}
+		t.Logf("%d appends for 10 changes", f.log.Stats().Appends-before)
+	})
+}
+
+func TestPublishDuringOutageIsUnknownAndThenKnown(t *testing.T) {
+	withFleet(t, 6, 8, func(f *fleet) {
+		f.log.SetFaults(logstore.Faults{Outage: true})
+		_, base := f.hosts[0].node.Store().Tree()
+		c := cicadaseam.Change{ID: "asked-again", Base: base, Edits: []cicadaseam.Edit{{Path: "scope:*", Key: "retries", Value: "1"}}}
+		d, err := f.hosts[0].node.Publisher().Publish(context.Background(), c)
+		require.NoError(t, err)
+		require.Equal(t, cicadaseam.VerdictUnknown, d.Verdict)
+		f.log.SetFaults(logstore.Faults{})
+		d, err = f.hosts[3].node.Publisher().Publish(context.Background(), c)
+		require.NoError(t, err)
+		require.Equal(t, cicadaseam.VerdictAccepted, d.Verdict)
+		require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
+		again, err := f.hosts[0].node.Publisher().Publish(context.Background(), c)
+		require.NoError(t, err)
+		require.Equal(t, d.Version, again.Version)
+	})
+}
+
+func TestHerdReturns(t *testing.T) {
+	withFleet(t, 18, 9, func(f *fleet) {
+		d := f.publish(f.hosts[0], "4s")
+		require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
+		time.Sleep(15 * time.Second) // a snapshot is written
+		before := f.log.Stats()
+		for _, h := range f.hosts {
+			f.kill(h)
+		}
+		for i, h := range f.hosts {
+			f.start(h, uint64(1000+i))
+			h.killed = false
+		}
+		began := time.Now()
+		f.settle()
+		after := f.log.Stats()
+		t.Logf("18 nodes back after %s: %d appends, %d reads, %d bounds, %d bytes read at the log", time.Since(began),
+			after.Appends-before.Appends, after.Reads-before.Reads, after.Bounds-before.Bounds, after.ReadBytes-before.ReadBytes)
+		require.True(t, f.atVersion(d.Version))
+		// A few announcements a zone, not one a node.
+		require.LessOrEqual(t, after.Appends-before.Appends, int64(len(f.hosts)))
+	})
+}
+
+func TestRetentionPassesTheTailWhileANodeIsAway(t *testing.T) {
+	withFleet(t, 6, 10, func(f *fleet) {
+		away := f.hosts[4]
+		for _, h := range f.hosts {
+			if h != away {
+				f.net.Cut(away.ip, h.ip)
+			}
+		}
+		f.log.SetFaults(logstore.Faults{})
+		var last cicadaseam.Offset
+		for i := range 5 {
+			last = f.publish(f.hosts[0], fmt.Sprintf("%dms", 2000+i)).Version
+		}
+		f.log.Trim(cicadaseam.StreamConfig, last+1)
+		f.log.Trim(cicadaseam.StreamSnapshot, 1_000_000)
+		f.net.HealAll()
+		require.True(t, f.eventually(90*time.Second, func() bool { return f.atVersion(last) }), "the peers' memory is the copy")
+	})
+}
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -70,13 +70,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, net: network.New(seed), log: logstore.New(logstore.WithSeed(seed))}
 		f.client = f.clientOf("192.0.2.1")
+		defer f.close()
 		for i := range n {
 			f.add(i, seed)
 		}
 		f.publishTree()
 		f.settle()
 		test(f)
-		f.close()
 	})
 }
 
@@ -149,20 +149,23 @@
 // settle waits until every living node is ready and knows every other one.
 func (f *fleet) settle() {
 	f.t.Helper()
-	require.True(f.t, f.eventually(30*time.Second, func() bool {
-		living := 0
-		for _, h := range f.hosts {
-			if !h.killed {
-				living++
-			}
+	living := 0
+	for _, h := range f.hosts {
+		if !h.killed {
+			living++
 		}
+	}
+	unsettled := ""
+	settled := f.eventually(30*time.Second, func() bool {
 		for _, h := range f.hosts {
 			if !h.killed && (!isReady(h.node) || h.node.ReadyBackends() != living) {
+				unsettled = fmt.Sprintf("%s: ready %t, knows %d of %d", h.ip, isReady(h.node), h.node.ReadyBackends(), living)
 				return false
 			}
 		}
 		return true
-	}), "the fleet did not settle")
+	})
+	require.True(f.t, settled, "the fleet did not settle: %s", unsettled)
 }
 
 func isReady(n *node.Node) bool {
--- a/internal/link/mux/conn.go
+++ b/internal/link/mux/conn.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	defer c.forget(id)
-	if idle > DefaultHeartbeat {
+	if idle > pingAfterIdle {
 		c.ping(time.Now())
 	}
 	select {
@@ -248,25 +248,36 @@
 	}
 }
 
-// check looks at the connection once a heartbeat. It returns false when the
-// connection should be dropped.
-func (c *conn) check(now time.Time, silence, idle time.Duration) bool {
+// verdict is what a check of a connection found.
+type verdict uint8
+
+const (
+	verdictKeep verdict = iota
+	verdictDrop
+	verdictSilent
+)
+
+// check looks at the connection once a heartbeat. While requests wait, or a
+// ping is out, silence ends it; bytes heard of late make a ping unneeded.
+func (c *conn) check(now time.Time, heartbeat, silence, idle time.Duration) verdict {
 	if !c.alive() {
-		return false
-	}
-	if c.waiting() == 0 {
-		if now.Sub(time.Unix(0, c.lastUse.Load())) > idle {
-			c.fail(errIdle)
-			return false
-		}
-		return true
+		return verdictDrop
 	}
 	sent := c.pingSent.Load()
 	if sent != 0 && now.Sub(time.Unix(0, sent)) >= silence {
 		c.counts.Silent.Add(1)
 		c.fail(errSilent)
-		return false
+		return verdictSilent
+	}
+	if c.waiting() > 0 {
+		if now.Sub(time.Unix(0, c.lastRead.Load())) >= heartbeat {
+			c.ping(now)
+		}
+		return verdictKeep
+	}
+	if now.Sub(time.Unix(0, c.lastUse.Load())) > idle {
+		c.fail(errIdle)
+		return verdictDrop
 	}
-	c.ping(now)
-	return true
+	return verdictKeep
 }
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -6,8 +6,9 @@
 // a message with an id; its answer has the same id. Heartbeats travel inside
 // the connection while requests wait. A connection on which nothing is heard
 // for the silence time is closed, and its requests end with a *LinkError; the
-// next request dials a new one. The peer itself is doubted only when a new
-// connection fails too.
+// next request dials a new one. What silences one connection may have silenced
+// others, so all of them are then pinged. The peer itself is doubted only when
+// a new connection fails too.
 //
 // # Invariants
 //
@@ -31,10 +32,13 @@
 
 // Defaults.
 const (
-	DefaultHeartbeat   = 250 * time.Millisecond
-	DefaultSilence     = time.Second
+	DefaultHeartbeat   = 100 * time.Millisecond
+	DefaultSilence     = 300 * time.Millisecond
 	DefaultDialTimeout = 500 * time.Millisecond
 	DefaultIdle        = 2 * time.Minute
+	// pingAfterIdle is how long a connection may be unused before a request on
+	// it brings a ping along.
+	pingAfterIdle = 100 * time.Millisecond
 	// ringFrames bounds the frames queued on one connection.
 	ringFrames = 4096
 	// maxServing bounds the requests that one connection may have running.
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -128,8 +128,7 @@
 
 // connect returns a live connection; one dial serves all that wait.
 func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
-	pr := p.peer(addr)
-	pr.mu.Lock()
+	pr := p.lockPeer(addr)
 	if pr.conn != nil && pr.conn.alive() {
 		defer pr.mu.Unlock()
 		return pr.conn, nil
@@ -167,7 +166,9 @@
 	close(done)
 }
 
-func (p *Pool) peer(addr string) *peer {
+// lockPeer returns the peer at addr with its lock held. The check holds both
+// locks in the same order, so that no peer in use is forgotten.
+func (p *Pool) lockPeer(addr string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pr := p.peers[addr]
@@ -175,27 +176,57 @@
 		pr = &peer{}
 		p.peers[addr] = pr
 	}
+	pr.mu.Lock()
 	return pr
 }
 
 func (p *Pool) check(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	silent := false
 	for addr, pr := range p.peers {
-		if !pr.check(now, p.silence, p.idle) {
+		switch pr.check(now, p) {
+		case verdictDrop:
 			delete(p.peers, addr)
+		case verdictSilent:
+			delete(p.peers, addr)
+			silent = true
 		}
 	}
+	if !silent {
+		return
+	}
+	for _, pr := range p.peers {
+		pr.ping(now)
+	}
 }
 
-// check returns false when the peer has neither a connection nor a dial.
-func (pr *peer) check(now time.Time, silence, idle time.Duration) bool {
+// check drops a peer that has neither a connection nor a dial.
+func (pr *peer) check(now time.Time, p *Pool) verdict {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
-	if pr.conn != nil && !pr.conn.check(now, silence, idle) {
+	if pr.conn == nil {
+		if pr.dialing == nil {
+			return verdictDrop
+		}
+		return verdictKeep
+	}
+	v := pr.conn.check(now, p.heartbeat, p.silence, p.idle)
+	if v != verdictKeep {
 		pr.conn = nil
 	}
-	return pr.conn != nil || pr.dialing != nil
+	if pr.dialing != nil {
+		return verdictKeep
+	}
+	return v
+}
+
+func (pr *peer) ping(now time.Time) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn != nil {
+		pr.conn.ping(now)
+	}
 }
 
 func (p *Pool) closeAll() {
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -132,32 +131,43 @@
 		a.logger.Warn("announcements unread", zap.Error(err))
 		return len(a.gossip.View().Members) > 0
 	}
+	a.joinThrough(ctx, list)
+	return true
+}
+
+// joinThrough joins through a peer of the own zone and through one of another
+// zone, so that no zone becomes an island.
+func (a *Announcer) joinThrough(ctx context.Context, list []Announcement) {
 	const triedPeers = 6
-	addrs := a.order(list)
-	if len(addrs) == 0 {
-		return true
-	}
-	err = a.gossip.Join(ctx, addrs[:min(len(addrs), triedPeers)])
-	if err != nil {
-		a.logger.Info("no announced peer answers", zap.Error(err))
+	near, far := a.split(list)
+	for _, addrs := range [][]string{near, far} {
+		if len(addrs) == 0 {
+			continue
+		}
+		if err := a.gossip.Join(ctx, addrs[:min(len(addrs), triedPeers)]); err != nil {
+			a.logger.Info("no announced peer answers", zap.Error(err))
+		}
 	}
-	return true
 }
 
-// order puts the own zone first and is random within a zone.
-func (a *Announcer) order(list []Announcement) []string {
-	zone := a.gossip.View().Self.Place.Zone
+// split returns the addresses of the own zone and of the others, each in
+// random order and once.
+func (a *Announcer) split(list []Announcement) (near, far []string) {
+	self := a.gossip.View().Self
 	a.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Zone == zone && list[j].Zone != zone })
-	var addrs []string
-	seen := map[string]bool{a.gossip.View().Self.Addr: true}
+	seen := map[string]bool{self.Addr: true}
 	for _, x := range list {
-		if !seen[x.Addr] {
-			seen[x.Addr] = true
-			addrs = append(addrs, x.Addr)
+		if seen[x.Addr] {
+			continue
+		}
+		seen[x.Addr] = true
+		if x.Zone == self.Place.Zone {
+			near = append(near, x.Addr)
+			continue
 		}
+		far = append(far, x.Addr)
 	}
-	return addrs
+	return near, far
 }
 
 // refresh joins through announcements of members that this node does not know,
@@ -175,11 +185,7 @@
 			strangers = append(strangers, x)
 		}
 	}
-	const triedStrangers = 2
-	addrs := a.order(strangers)
-	if len(addrs) > 0 {
-		_ = a.gossip.Join(ctx, addrs[:min(len(addrs), triedStrangers)]) // the next round tries others
-	}
+	a.joinThrough(ctx, strangers)
 	if a.liveIn(list) < Wanted {
 		a.announce(ctx)
 	}
