At most once under failure: tests and the fault they found

Cause: a resend asked the holder of its key by the question that voids an attempt. Twelve sends of one key at once voided each other between claim and start (0 ran); and a finished attempt that the target had forgotten after ten minutes would have been voided and run again. Targets now inquire without voiding, and only the sender of an attempt voids it.

--- a/internal/call/entry/remote.go
+++ b/internal/call/entry/remote.go
@@ -30,6 +30,8 @@
 	To      string        `msgpack:"t"`
 	Attempt string        `msgpack:"a"`
 	Wait    time.Duration `msgpack:"w"`
+	// Inquire asks without voiding.
+	Inquire bool `msgpack:"q,omitempty"`
 }
 
 // Remote sends calls to other nodes.
@@ -93,12 +95,21 @@
 	return &cicadaseam.Answer{Outcome: cicadaseam.OutcomeUnknown, Reason: reason}
 }
 
-// Resolve implements target.Resolver.
+// Resolve asks the target of an own attempt what became of it.
 func (r *Remote) Resolve(ctx context.Context, node, addr, attempt string, wait time.Duration) target.Resolution {
+	return r.ask(ctx, addr, resolveMessage{To: node, Attempt: attempt, Wait: max(wait, 0)})
+}
+
+// Inquire implements target.Resolver.
+func (r *Remote) Inquire(ctx context.Context, node, addr, attempt string, wait time.Duration) target.Resolution {
+	return r.ask(ctx, addr, resolveMessage{To: node, Attempt: attempt, Wait: max(wait, 0), Inquire: true})
+}
+
+func (r *Remote) ask(ctx context.Context, addr string, message resolveMessage) target.Resolution {
 	r.resolves.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
-	payload, err := method.Encode(&resolveMessage{To: node, Attempt: attempt, Wait: max(wait, 0)})
+	payload, err := method.Encode(&message)
 	if err != nil {
 		return target.Resolution{}
 	}
@@ -140,6 +151,10 @@
 	if message.To != e.fleet.View().Self.ID {
 		return method.Encode(&target.Resolution{State: target.ResolutionLost})
 	}
-	res := e.local.Resolve(ctx, message.Attempt, message.Wait)
+	ask := e.local.Resolve
+	if message.Inquire {
+		ask = e.local.Inquire
+	}
+	res := ask(ctx, message.Attempt, message.Wait)
 	return method.Encode(&res)
 }
--- a/internal/call/target/attempts.go
+++ b/internal/call/target/attempts.go
@@ -10,6 +10,9 @@
 // Limits of the kept attempts.
 const (
 	keepAttempts = 10 * time.Minute
+	// leastKeep is how long an attempt is kept however many there are: far
+	// longer than an entry node may still ask about it.
+	leastKeep = 2 * time.Minute
 	// maxAnswerBytes bounds the kept answers; past it the oldest are dropped
 	// and a resend learns only that the request ran.
 	maxAnswerBytes = 16 << 20
@@ -33,7 +36,8 @@
 	state  attemptState
 	answer *cicadaseam.Answer
 	at     time.Time
-	done   chan struct{}
+	// done is closed when the attempt is finished or void.
+	done chan struct{}
 }
 
 // attempts remembers what became of non-idempotent requests at this node.
@@ -120,6 +124,19 @@
 	}
 	if x.state == attemptOpen {
 		x.state = attemptVoid
+		close(x.done)
+	}
+	return x.state, x
+}
+
+// lookup returns the state of an attempt and changes nothing. The state is 0
+// when the attempt is not, or no longer, known.
+func (a *attempts) lookup(id string) (attemptState, *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	x := a.byID[id]
+	if x == nil {
+		return 0, nil
 	}
 	return x.state, x
 }
@@ -135,7 +152,8 @@
 func (a *attempts) expire(now time.Time) {
 	for len(a.order) > 0 {
 		x := a.order[0]
-		old := now.Sub(x.at) > keepAttempts || len(a.order) > maxAttempts
+		age := now.Sub(x.at)
+		old := age > keepAttempts || (age > leastKeep && len(a.order) > maxAttempts)
 		if !old || x.state == attemptStarted {
 			return
 		}
--- a/internal/call/target/once.go
+++ b/internal/call/target/once.go
@@ -111,8 +111,8 @@
 	case ResolutionLost:
 		return &cicadaseam.Answer{Outcome: cicadaseam.OutcomeUnknown, Reason: cicadaseam.ReasonKeyLost}
 	}
-	// The holder never started. Its claim is voided on its behalf: Resolve made
-	// sure that it never will.
+	// The holder did not start and never will. Its claim is voided on its
+	// behalf.
 	void := ledger.Op{Kind: ledger.OpVoid, Key: key, Attempt: holder.Attempt, Node: holder.Node, Addr: holder.Addr}
 	if _, err := t.claims.Submit(ctx, void); err != nil {
 		return notRun(cicadaseam.ReasonLedger, retryLedger)
@@ -123,21 +123,41 @@
 
 func (t *Target) resolveHolder(ctx context.Context, holder *ledger.Claimed) Resolution {
 	if holder.Node == t.nodeID {
-		return t.Resolve(ctx, holder.Attempt, holderWait)
+		return t.Inquire(ctx, holder.Attempt, holderWait)
 	}
-	return t.resolver.Resolve(ctx, holder.Node, holder.Addr, holder.Attempt, holderWait)
+	return t.resolver.Inquire(ctx, holder.Node, holder.Addr, holder.Attempt, holderWait)
 }
 
-// Resolve tells what became of an attempt at this node, and voids it if it has
-// not started. It waits for a running one up to wait.
+// Resolve tells the entry that sent an attempt what became of it, and voids it
+// if it has not started or not even come. It waits for a running one up to
+// wait. Only the sender may ask so, soon after: a finished attempt is not known
+// for ever.
 func (t *Target) Resolve(ctx context.Context, attemptID string, wait time.Duration) Resolution {
 	state, x := t.attempts.void(time.Now(), attemptID)
+	return t.resolution(ctx, state, x, wait)
+}
+
+// Inquire tells what became of an attempt that claimed a key at this node. It
+// changes nothing: an attempt between claim and start goes on, and one that is
+// no longer known may have run.
+func (t *Target) Inquire(ctx context.Context, attemptID string, wait time.Duration) Resolution {
+	state, x := t.attempts.lookup(attemptID)
+	return t.resolution(ctx, state, x, wait)
+}
+
+func (t *Target) resolution(ctx context.Context, state attemptState, x *attempt, wait time.Duration) Resolution {
+	if x == nil {
+		return Resolution{State: ResolutionLost}
+	}
+	if state == attemptOpen || state == attemptStarted {
+		if !waitFor(ctx, x.done, wait) {
+			return Resolution{State: ResolutionRunning}
+		}
+		state, _ = t.attempts.lookup(x.id)
+	}
 	if state == attemptVoid {
 		return Resolution{State: ResolutionVoid}
 	}
-	if state == attemptStarted && !waitFor(ctx, x.done, wait) {
-		return Resolution{State: ResolutionRunning}
-	}
 	return Resolution{State: ResolutionFinished, Answer: t.attempts.answerOf(x)}
 }
 
--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -9,7 +9,8 @@
 //
 // Resolve tells an entry node that lost its link what became of an attempt. An
 // attempt that had not started is voided by the question itself, so that the
-// answer stays true.
+// answer stays true. Inquire is the question of another target whose key is
+// held by an attempt here, and changes nothing.
 //
 // # Invariants
 //
@@ -61,7 +62,7 @@
 
 // Resolver asks another node what became of an attempt.
 type Resolver interface {
-	Resolve(ctx context.Context, node, addr, attempt string, wait time.Duration) Resolution
+	Inquire(ctx context.Context, node, addr, attempt string, wait time.Duration) Resolution
 }
 
 // Events tells the node about its backend server.
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -65,11 +65,14 @@
 
 // withFleet runs a test on n hosts with the example tree published. Host i has
 // a backend server of service i%3 and is in zone (i/3)%4.
-func withFleet(t *testing.T, n int, seed uint64, test func(f *fleet)) {
+func withFleet(t *testing.T, n int, seed uint64, test func(f *fleet), tune ...func(*node.Settings)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, net: network.New(seed), log: logstore.New(logstore.WithSeed(seed))}
 		f.client = f.clientOf("192.0.2.1")
+		for _, tuned := range tune {
+			f.tune = tuned
+		}
 		defer f.close()
 		for i := range n {
 			f.add(i, seed)
@@ -263,9 +266,15 @@
 	f.net.Kill("192.0.2.1")
 }
 
-func newKey(t *testing.T) string {
-	id, err := uuid.NewV7()
-	require.NoError(t, err)
+// newKey returns a UUID of version 7 at the virtual time. The library keeps its
+// own times rising over all tests, which start at the same virtual time.
+func newKey(*testing.T) string {
+	id := uuid.New()
+	ms := uint64(time.Now().UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = 0x70 | id[6]&0x0f
 	return id.String()
 }
 
