Property test of the promises under random pairs of faults

Twelve nodes in memory and virtual time, a pair of faults a step, each promise checked after each step; the seed is printed with a failure. It found, in this order: a backend server replaced at the same address within its lease kept the drained state of the one before (announcements now carry an instance); a call whose first attempt had run and whose retry did not was told notrun (the truth is now kept over attempts); two nodes of a small zone that held each other dead stayed so until the tombstone ended (a dead member that others hold alive is now told, so that it refutes).

--- a/internal/call/entry/entry.go
+++ b/internal/call/entry/entry.go
@@ -266,9 +266,11 @@
 		return refusal(http.StatusServiceUnavailable, cicadaseam.ReasonQuarantine, wait)
 	}
 	tried := map[string]bool{}
+	var earlier *cicadaseam.Answer
 	for number := 1; ; number++ {
 		answer, more := e.attempt(ctx, x, tried)
 		e.counts.Attempts.Add(1)
+		answer = truthOf(earlier, answer)
 		delay, again := e.decide(ctx, x, answer, number, more)
 		if !again {
 			return answer
@@ -277,9 +279,22 @@
 		if !sleep(ctx, delay) {
 			return answer
 		}
+		earlier = answer
 	}
 }
 
+// truthOf keeps the outcome of a call true over its attempts: one that did not
+// run says nothing about an earlier one that did, or may have.
+func truthOf(earlier, answer *cicadaseam.Answer) *cicadaseam.Answer {
+	if earlier == nil || answer.Outcome == cicadaseam.OutcomeRan {
+		return answer
+	}
+	if earlier.Outcome == cicadaseam.OutcomeRan || answer.Outcome == cicadaseam.OutcomeNotRun && earlier.Outcome == cicadaseam.OutcomeUnknown {
+		return earlier
+	}
+	return answer
+}
+
 // attempt picks a target and sends the call there. more is false when no
 // untried target is left.
 func (e *Entry) attempt(ctx context.Context, x *exchange, tried map[string]bool) (answer *cicadaseam.Answer, more bool) {
--- a/internal/daemon/node/backend.go
+++ b/internal/daemon/node/backend.go
@@ -20,6 +20,9 @@
 	Address     string `json:"address"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
+	// Instance is new with each start of the backend server. It tells a server
+	// that was replaced at the same address from one that renews.
+	Instance string `json:"instance,omitempty"`
 }
 
 // backendKeeper keeps the lease of the backend server of a node.
--- /dev/null
+++ b/internal/daemon/node/chaos_test.go
@@ -0,0 +1,330 @@
+package node_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
+)
+
+var (
+	chaosSeeds = flag.Int("seeds", 6, "number of seeds of the property test")
+	chaosFirst = flag.Uint64("first-seed", 1, "first seed of the property test")
+)
+
+// chaos breaks a fleet two faults at a time and keeps what must hold.
+type chaos struct {
+	*fleet
+	rng      *rand.Rand
+	mu       sync.Mutex
+	versions map[string]cicadaseam.Offset // by node id
+	accepted map[string]cicadaseam.Offset // by change id
+	told     []toldCall
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	next     uint64
+}
+
+type toldCall struct {
+	token   string // of one request
+	key     string
+	outcome string
+}
+
+// fault begins something and returns what ends it.
+type fault struct {
+	name  string
+	begin func(c *chaos) (end func())
+}
+
+var faults = []fault{
+	{"a host dies and returns", func(c *chaos) func() {
+		h := c.victim()
+		c.kill(h)
+		return func() { c.restart(h) }
+	}},
+	{"all of a zone die at once and return", func(c *chaos) func() {
+		zone := zones[c.rng.IntN(len(zones))]
+		var dead []*host
+		for _, h := range c.hosts {
+			if h.place.Zone == zone && !h.killed {
+				c.kill(h)
+				dead = append(dead, h)
+			}
+		}
+		return func() {
+			for _, h := range dead {
+				c.restart(h)
+			}
+		}
+	}},
+	{"a zone is cut off", func(c *chaos) func() {
+		zone := zones[c.rng.IntN(len(zones))]
+		c.cutWhere(func(h *host) bool { return h.place.Zone == zone })
+		return c.net.HealAll
+	}},
+	{"a host is paused", func(c *chaos) func() {
+		h := c.victim()
+		c.cutWhere(func(o *host) bool { return o == h })
+		return c.net.HealAll
+	}},
+	{"connections go silent", func(c *chaos) func() {
+		a := c.victim()
+		for _, b := range c.hosts {
+			c.net.Silence(a.ip, b.ip)
+		}
+		return func() {}
+	}},
+	{"the log is down", func(c *chaos) func() {
+		c.log.SetFaults(logstore.Faults{Outage: true})
+		return func() { c.log.SetFaults(logstore.Faults{}) }
+	}},
+	{"the log is slow", func(c *chaos) func() {
+		c.log.SetFaults(logstore.Faults{Delay: 400 * time.Millisecond})
+		return func() { c.log.SetFaults(logstore.Faults{}) }
+	}},
+	{"the log loses answers", func(c *chaos) func() {
+		c.log.SetFaults(logstore.Faults{LoseAnswers: 0.5, LoseAppends: 0.2})
+		return func() { c.log.SetFaults(logstore.Faults{}) }
+	}},
+	{"datagrams are lost", func(c *chaos) func() {
+		c.net.SetLoss(0.3)
+		return func() { c.net.SetLoss(0) }
+	}},
+	{"a backend server drains", func(c *chaos) func() {
+		h := c.victim()
+		_ = h.backend.Drain(context.Background()) // its node may be cut off
+		return func() { c.restartBackend(h) }
+	}},
+	{"a backend server dies", func(c *chaos) func() {
+		h := c.victim()
+		h.backend.Kill()
+		return func() { c.restartBackend(h) }
+	}},
+	{"a backend server fails calls", func(c *chaos) func() {
+		h := c.victim()
+		h.backend.SetFaults(backend.Faults{Fail: 0.7})
+		return func() { h.backend.SetFaults(backend.Faults{}) }
+	}},
+}
+
+func (c *chaos) victim() *host {
+	for {
+		if h := c.hosts[c.rng.IntN(len(c.hosts))]; !h.killed {
+			return h
+		}
+	}
+}
+
+func (c *chaos) cutWhere(inside func(*host) bool) {
+	for _, a := range c.hosts {
+		for _, b := range c.hosts {
+			if inside(a) && !inside(b) {
+				c.net.Cut(a.ip, b.ip)
+			}
+		}
+	}
+}
+
+func (c *chaos) restart(h *host) {
+	c.next++
+	runs := h.backend
+	c.start(h, 10_000+c.next)
+	h.backend.Adopt(runs)
+	h.killed = false
+}
+
+func (c *chaos) restartBackend(h *host) {
+	if h.killed {
+		return
+	}
+	runs := h.backend
+	runs.Kill()
+	c.startBackend(h)
+	h.backend.Adopt(runs)
+}
+
+// work calls, files and publishes until stopped.
+func (c *chaos) work() {
+	c.wg.Add(3)
+	go c.loop(20*time.Millisecond, func(rng *rand.Rand) { c.callOnce(rng) })
+	go c.loop(50*time.Millisecond, func(rng *rand.Rand) { c.fileTwice(rng) })
+	go c.loop(700*time.Millisecond, func(rng *rand.Rand) { c.publishOne(rng) })
+}
+
+func (c *chaos) loop(period time.Duration, one func(*rand.Rand)) {
+	defer c.wg.Done()
+	c.mu.Lock()
+	rng := rand.New(rand.NewPCG(c.rng.Uint64(), 0))
+	c.mu.Unlock()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(period):
+		}
+		one(rng)
+	}
+}
+
+func (c *chaos) tell(token, key string, r reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = append(c.told, toldCall{token: token, key: key, outcome: r.outcome})
+}
+
+func (c *chaos) callOnce(rng *rand.Rand) {
+	token := uuid.NewString()
+	r := c.call(c.hosts[rng.IntN(len(c.hosts))], "GET", "/status/claim", "passenger", backend.HeaderToken, token)
+	if r.err == nil && r.status == 200 {
+		require.Equal(c.t, token, decodeEcho(c.t, r.body).Token, "a caller got the answer to another call")
+	}
+	c.tell(token, "", r)
+}
+
+// fileTwice files with a key and, unless it surely ran, again through another
+// host. Each send has its own token, so that each answer is checked by itself.
+func (c *chaos) fileTwice(rng *rand.Rand) {
+	key := newKey(c.t)
+	for range 2 {
+		token := uuid.NewString()
+		r := c.callBody(c.hosts[rng.IntN(len(c.hosts))], "POST", "/claims/file", "solicitor", "claim",
+			"Idempotency-Key", key, backend.HeaderToken, token)
+		c.tell(token, key, r)
+		if r.outcome == "ran" {
+			return
+		}
+	}
+}
+
+func (c *chaos) publishOne(rng *rand.Rand) {
+	h := c.hosts[rng.IntN(len(c.hosts))]
+	if h.killed {
+		return
+	}
+	_, version := h.node.Store().Tree()
+	d, err := h.node.Publisher().Publish(context.Background(), cicadaseam.Change{
+		ID: uuid.NewString(), Base: version,
+		Edits: []cicadaseam.Edit{{Path: "scope:georgia-east/*/flight-records", Key: "deadline", Value: fmt.Sprintf("%dms", 1000+rng.IntN(500))}},
+	})
+	require.NoError(c.t, err)
+	if d.Verdict == cicadaseam.VerdictAccepted {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.accepted[d.ID] = d.Version
+	}
+}
+
+// check is what must hold after each step.
+func (c *chaos) check(step string) {
+	digests := map[cicadaseam.Offset]uint64{}
+	for _, h := range c.hosts {
+		if h.killed {
+			continue
+		}
+		table := h.node.Store().Table()
+		require.GreaterOrEqual(c.t, table.Version, c.versions[h.node.ID()], "%s: a node went back", step)
+		c.versions[h.node.ID()] = table.Version
+		for _, r := range table.Routes {
+			require.True(c.t, table.Services[r.Service], "%s: a route points at what its node does not hold", step)
+		}
+		position, digest := h.node.Store().Position()
+		if other, known := digests[position]; known {
+			require.Equal(c.t, other, digest, "%s: two nodes differ at position %d", step, position)
+		}
+		digests[position] = digest
+	}
+	c.checkCalls(step)
+}
+
+func (c *chaos) checkCalls(step string) {
+	runs := map[string]int64{}
+	for _, h := range c.hosts {
+		for token, n := range h.backend.AllRuns() {
+			runs[token] += n
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.told {
+		if x.key != "" {
+			require.LessOrEqual(c.t, runs[x.key], int64(1), "%s: key %s ran more than once", step, x.key)
+		}
+		if x.outcome == "notrun" {
+			require.Zero(c.t, runs[x.token], "%s: told notrun, but it ran", step)
+		}
+		if x.outcome == "ran" && x.key == "" {
+			require.Positive(c.t, runs[x.token], "%s: told ran, but it did not", step)
+		}
+	}
+}
+
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	for i := range *chaosSeeds {
+		seed := *chaosFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			withFleet(t, 12, seed, func(f *fleet) {
+				c := &chaos{
+					fleet: f, rng: rand.New(rand.NewPCG(seed, 42)), stop: make(chan struct{}),
+					versions: map[string]cicadaseam.Offset{}, accepted: map[string]cicadaseam.Offset{},
+				}
+				c.run()
+			})
+		})
+	}
+}
+
+func (c *chaos) run() {
+	const steps = 8
+	c.work()
+	for range steps {
+		a, b := faults[c.rng.IntN(len(faults))], faults[c.rng.IntN(len(faults))]
+		step := a.name + " and " + b.name
+		endA := a.begin(c)
+		time.Sleep(time.Duration(c.rng.IntN(3000)) * time.Millisecond)
+		endB := b.begin(c)
+		time.Sleep(time.Duration(c.rng.IntN(6000)) * time.Millisecond)
+		c.check(step)
+		endA()
+		endB()
+		time.Sleep(2 * time.Second)
+		c.check("after " + step)
+	}
+	close(c.stop)
+	c.wg.Wait()
+	c.converge()
+}
+
+// converge checks that all is well once the faults are over.
+func (c *chaos) converge() {
+	c.settle()
+	d := c.publish(c.hosts[0], "3s")
+	require.Equal(c.t, cicadaseam.VerdictAccepted, d.Verdict, "%v", d.Faults)
+	require.True(c.t, c.eventually(3*time.Second, func() bool { return c.atVersion(d.Version) }), "a change is in force within 3 s")
+	c.check("at the end")
+	ran := 0
+	for _, x := range c.told {
+		if x.outcome == "ran" {
+			ran++
+		}
+	}
+	c.t.Logf("%d of %d calls ran, %d changes accepted", ran, len(c.told), len(c.accepted))
+	for id, version := range c.accepted {
+		for _, h := range c.hosts {
+			got, known := h.node.Store().Decision(id)
+			require.True(c.t, known, "an accepted change is lost")
+			require.Equal(c.t, version, got.Version)
+			require.Equal(c.t, cicadaseam.VerdictAccepted, got.Verdict)
+		}
+	}
+}
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -162,7 +162,7 @@
 	settled := f.eventually(30*time.Second, func() bool {
 		for _, h := range f.hosts {
 			if !h.killed && (!isReady(h.node) || h.node.ReadyBackends() != living) {
-				unsettled = fmt.Sprintf("%s: ready %t, knows %d of %d", h.ip, isReady(h.node), h.node.ReadyBackends(), living)
+				unsettled = fmt.Sprintf("%s: ready %t, knows %d of %d: %v", h.ip, isReady(h.node), h.node.ReadyBackends(), living, h.node.Fleet())
 				return false
 			}
 		}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -285,6 +286,15 @@
 	return count
 }
 
+// Fleet returns the members as this node sees them, in short.
+func (n *Node) Fleet() []string {
+	var out []string
+	for _, s := range n.gossip.View().Members {
+		out = append(out, fmt.Sprintf("%s %s %s", s.Member.Name, s.Member.State, s.Member.Backend.State))
+	}
+	return out
+}
+
 // Metrics returns the metrics of the node.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -79,6 +79,7 @@
 	listener net.Listener
 	server   *http.Server
 	nodeURL  string
+	instance string
 	crashed  bool
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
@@ -132,7 +133,7 @@
 		connections: 120,
 		serviceTime: 2 * time.Millisecond,
 		client:      &http.Client{Timeout: announceTimeout},
-		rng:         rand.New(rand.NewPCG(1, 2)),
+		rng:         rand.New(rand.NewPCG(rand.Uint64(), 0)),
 		runs:        map[string]int64{},
 		conns:       map[net.Conn]bool{},
 	}
@@ -149,6 +150,7 @@
 	s.mu.Lock()
 	s.listener, s.server, s.stop, s.crashed = l, server, stop, false
 	s.nodeURL = nodeURL
+	s.instance = fmt.Sprintf("%016x", s.rng.Uint64())
 	s.mu.Unlock()
 	s.wg.Add(2)
 	go func() {
@@ -176,7 +178,7 @@
 	ticker := time.NewTicker(renewPeriod)
 	defer ticker.Stop()
 	for {
-		_ = s.announce(ctx) // the next renewal tries again
+		s.announceOnce(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -185,9 +187,15 @@
 	}
 }
 
+func (s *Server) announceOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_ = s.announce(ctx) // the next renewal tries again
+}
+
 func (s *Server) announce(ctx context.Context) error {
 	body, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.Addr(), "slots": s.slots, "connections": s.connections,
+		"service": s.service, "address": s.Addr(), "slots": s.slots, "connections": s.connections, "instance": s.instance,
 	})
 	if err != nil {
 		return err
@@ -395,3 +403,14 @@
 		time.Sleep(look)
 	}
 }
+
+// Adopt takes over the counts of the server that this one replaces, so that
+// runs are counted over restarts.
+func (s *Server) Adopt(old *Server) {
+	runs := old.AllRuns()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for token, n := range runs {
+		s.runs[token] += n
+	}
+}
--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -96,12 +96,14 @@
 	// lastExpire is when old members were last looked for.
 	lastExpire time.Time
 	suspects   map[string]bool
-	version    uint64
-	digests    map[string]uint64
-	zones      []string
-	zoneAt     int
-	leaving    bool
-	counts     Counters
+	// doubted are dead members that others hold alive.
+	doubted map[string]bool
+	version uint64
+	digests map[string]uint64
+	zones   []string
+	zoneAt  int
+	leaving bool
+	counts  Counters
 	// mismatch counts answers in a row whose zone digest differs.
 	mismatch map[string]int
 	syncs    []Sync
@@ -136,6 +138,7 @@
 		keep:     DefaultUnreachable,
 		members:  map[string]*entry{},
 		suspects: map[string]bool{},
+		doubted:  map[string]bool{},
 		own:      &entry{},
 		relays:   map[uint64]relay{},
 		digests:  map[string]uint64{},
@@ -259,6 +262,7 @@
 		d.accuse(e, by)
 	}
 	if !supersedes(m, e.m) {
+		d.noteDoubt(m, e.m)
 		return
 	}
 	if m.State == cicadaseam.MemberDead && rank(e.m.State) == rank(cicadaseam.MemberSuspect) && d.zoneSilent(m.Place.Zone) {
@@ -269,6 +273,15 @@
 	d.set(now, e, m, by)
 }
 
+// noteDoubt notes a member that others hold alive and this node holds dead at
+// the same incarnation. It cannot be believed to be back, but it can be told,
+// so that it refutes.
+func (d *Detector) noteDoubt(news, old cicadaseam.Member) {
+	if news.State == cicadaseam.MemberAlive && old.State == cicadaseam.MemberDead && news.Incarnation == old.Incarnation {
+		d.doubted[news.ID] = true
+	}
+}
+
 // supersedes orders two pieces of news about one member. An unreachable
 // member is as good as a suspect one: a higher incarnation brings it back.
 func supersedes(news, old cicadaseam.Member) bool {
--- a/internal/member/detect/tick.go
+++ b/internal/member/detect/tick.go
@@ -11,7 +11,7 @@
 // packets that it returns are to be sent.
 func (d *Detector) Tick(now time.Time) []Send {
 	d.notePause(now)
-	sends := d.stepProbe(now)
+	sends := append(d.stepProbe(now), d.askDoubted()...)
 	d.expireSuspects(now)
 	if now.Sub(d.lastExpire) >= d.period {
 		d.lastExpire = now
@@ -92,6 +92,26 @@
 	return []Send{{Addr: target.m.Addr, Packet: p}}
 }
 
+// askDoubted tells a few doubted members that this node holds them dead.
+func (d *Detector) askDoubted() []Send {
+	const atOnce = 3
+	var sends []Send
+	for id := range d.doubted {
+		if len(sends) == atOnce {
+			break
+		}
+		delete(d.doubted, id)
+		e := d.members[id]
+		if e == nil || e.m.State != cicadaseam.MemberDead {
+			continue
+		}
+		p := d.packet(Ping, e.m)
+		p.Updates = withDoubt(p.Updates, e.m)
+		sends = append(sends, Send{Addr: e.m.Addr, Packet: p})
+	}
+	return sends
+}
+
 // withDoubt tells a member first what is thought of it, so that it can refute
 // at once.
 func withDoubt(updates []cicadaseam.Member, m cicadaseam.Member) []cicadaseam.Member {
