--- a/internal/call/ledger/shard.go
+++ b/internal/call/ledger/shard.go
@@ -191,10 +191,11 @@
 	}
 }
 
-// sweep drops keys at or before the floor now and then.
+// sweep drops keys at or before the floor now and then, but none before the
+// true floor of a trimmed stream is known.
 func (s *Shard) sweep() {
 	const sweepStep = 60_000 // milliseconds of floor
-	if s.floor-s.swept < sweepStep {
+	if s.trimmed != 0 || s.floor-s.swept < sweepStep {
 		return
 	}
 	s.swept = s.floor
--- /dev/null
+++ b/internal/call/ledger/shard_test.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+func init() {
+	// The verdict of a run does not depend on when it is made.
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+}
+
+func key(n byte, stamp int64) Key { return Key{Hash: [16]byte{n}, Stamp: stamp} }
+
+func claim(k Key, attempt string) Op { return Op{Kind: OpClaim, Key: k, Attempt: attempt, Node: "n"} }
+
+func void(k Key, attempt string) Op { return Op{Kind: OpVoid, Key: k, Attempt: attempt} }
+
+func apply(t require.TestingT, s *Shard, at cicadaseam.Offset, b Batch) {
+	data, err := Encode(&b)
+	require.NoError(t, err)
+	require.NoError(t, s.Apply(cicadaseam.Record{Offset: at, Data: data}))
+}
+
+func TestFirstClaimWinsUntilVoid(t *testing.T) {
+	s := NewShard()
+	k := key(1, 100)
+	apply(t, s, 1, Batch{Ops: []Op{claim(k, "a"), claim(k, "b")}})
+	require.Equal(t, "a", s.Lookup(k).Attempt)
+	apply(t, s, 2, Batch{Ops: []Op{claim(k, "a")}})
+	require.Equal(t, "a", s.Lookup(k).Attempt, "a claim that comes twice changes nothing")
+	apply(t, s, 3, Batch{Ops: []Op{void(k, "b")}})
+	require.Equal(t, "a", s.Lookup(k).Attempt, "a void is of one attempt")
+	apply(t, s, 4, Batch{Ops: []Op{void(k, "a"), claim(k, "c")}})
+	require.Equal(t, "c", s.Lookup(k).Attempt)
+	apply(t, s, 5, Batch{Ops: []Op{claim(k, "a"), void(k, "c"), claim(k, "a"), claim(k, "b")}})
+	require.Nil(t, s.Lookup(k), "an attempt that was voided never wins")
+}
+
+func TestParseKey(t *testing.T) {
+	now := time.Now()
+	v7, err := uuid.NewV7()
+	require.NoError(t, err)
+	k, err := ParseKey("c", "s", v7.String(), now)
+	require.NoError(t, err)
+	require.InDelta(t, now.UnixMilli(), k.Stamp, 1000)
+	other, err := ParseKey("d", "s", v7.String(), now)
+	require.NoError(t, err)
+	require.NotEqual(t, k.Hash, other.Hash, "customers do not share keys")
+	for text, reason := range map[string]string{
+		"abc": "is not a UUID of version 7", uuid.NewString(): "is not a UUID of version 7",
+	} {
+		_, err := ParseKey("c", "s", text, now)
+		var bad *KeyError
+		require.ErrorAs(t, err, &bad)
+		require.Contains(t, err.Error(), reason)
+	}
+	_, err = ParseKey("c", "s", v7.String(), now.Add(-time.Hour))
+	require.ErrorContains(t, err, "was made in the future")
+}
+
+// Two writers that each know a part of the stream, and a reader that finds its
+// beginning trimmed: a key that won before is never free for it.
+func TestTrimmedReaderNeverFreesAKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "records")
+		whole := NewShard()
+		var stream []cicadaseam.Record
+		for at := cicadaseam.Offset(1); int(at) <= n; at++ {
+			// The writer has seen a prefix of the stream only.
+			seen := cicadaseam.Offset(rapid.IntRange(0, int(at)-1).Draw(t, "seen"))
+			writer := NewShard()
+			for _, r := range stream[:seen] {
+				require.NoError(t, writer.Apply(r))
+			}
+			b := Batch{High: max(writer.High(), writer.Floor()), Seen: seen}
+			for range rapid.IntRange(0, 3).Draw(t, "ops") {
+				k := key(byte(rapid.IntRange(1, 12).Draw(t, "key")), 0)
+				k.Stamp = 1000 + int64(k.Hash[0])*10
+				b.Ops = append(b.Ops, claim(k, fmt.Sprint(at)))
+			}
+			data, err := Encode(&b)
+			require.NoError(t, err)
+			r := cicadaseam.Record{Offset: at, Data: data}
+			stream = append(stream, r)
+			require.NoError(t, whole.Apply(r))
+		}
+		first := rapid.IntRange(1, n).Draw(t, "trimmed")
+		late := NewShard()
+		late.Skip(cicadaseam.Offset(first+1), 1_000_000)
+		for _, r := range stream[first:] {
+			require.NoError(t, late.Apply(r))
+		}
+		for i := byte(1); i <= 12; i++ {
+			k := key(i, 1000+int64(i)*10)
+			if whole.Lookup(k) == nil {
+				continue
+			}
+			free := !late.Expired(k) && late.Lookup(k) == nil
+			require.False(t, free, "key %d won in the whole stream and is free after the trim", i)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(&Batch{Ops: []Op{claim(key(1, 5), "a")}})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{Format, 0x94})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := NewShard()
+		if err := s.Apply(cicadaseam.Record{Offset: 1, Data: data}); err != nil {
+			require.Zero(t, s.Position())
+			return
+		}
+		require.Equal(t, cicadaseam.Offset(1), s.Position())
+	})
+}
