--- a/internal/call/admit/admit.go
+++ b/internal/call/admit/admit.go
@@ -44,9 +44,18 @@
 	// tolerance is how far latency may grow past its floor.
 	tolerance = 2.0
 	decrease  = 0.9
+	// startShare is the share of the announced slots to begin with. From there
+	// the limit doubles each window, so that the latency floor is learned below
+	// the real capacity, whatever was announced, and a cold backend server is
+	// not flooded.
+	startShare = 0.25
+	// leastShare is the share of the announced slots that the limit never goes
+	// below. Latency that stays high there is not from queueing: the work has
+	// changed, and its latency is the new floor.
+	leastShare = 0.1
 	// floorDrift lets the latency floor rise slowly, so that a change of the
 	// work is learned.
-	floorDrift = 1.01
+	floorDrift = 1.0002
 	// levelHold is how long a refusal raises the level.
 	levelHold = 250 * time.Millisecond
 	// seenHold is how long a priority counts as asking.
@@ -90,6 +99,7 @@
 	windowSum   time.Duration
 	windowCount int
 	windowFull  bool // the limit was in use during the window
+	starting    bool // the limit has not met its bound yet
 	lowered     bool // the limit was already lowered in the window
 	floor       time.Duration
 	service     time.Duration
@@ -128,7 +138,8 @@
 		return
 	}
 	g.slots = n
-	g.limit = float64(n)
+	g.limit = math.Max(float64(n)*startShare, 1)
+	g.starting = true
 }
 
 // Load returns what the target tells about itself.
@@ -338,10 +349,12 @@
 	}
 	slow := float64(mean) > tolerance*float64(g.floor)
 	switch {
+	case slow && g.windowFull && g.limit <= g.least():
+		g.floor = mean
 	case slow && g.windowFull:
 		g.lower()
 	case !slow && g.windowFull && !g.lowered:
-		g.limit = math.Min(g.limit+1, float64(g.slots))
+		g.raise()
 	}
 	g.floor = time.Duration(floorDrift * float64(g.floor))
 	g.windowStart = now
@@ -349,13 +362,28 @@
 	g.windowFull, g.lowered = false, false
 }
 
+// raise grows the limit up to the announced slots.
+func (g *Gate) raise() {
+	if g.starting {
+		g.limit *= 2
+	} else {
+		g.limit++
+	}
+	g.limit = math.Min(g.limit, float64(g.slots))
+}
+
 // lower shrinks the limit once a window.
 func (g *Gate) lower() {
+	g.starting = false
 	if g.lowered {
 		return
 	}
 	g.lowered = true
-	g.limit = math.Max(g.limit*decrease, 1)
+	g.limit = math.Max(g.limit*decrease, g.least())
+}
+
+func (g *Gate) least() float64 {
+	return math.Max(leastShare*float64(g.slots), 1)
 }
 
 // Tick drops tickets that waited too long.
--- a/internal/call/balance/balance.go
+++ b/internal/call/balance/balance.go
@@ -39,8 +39,8 @@
 	// candidate begins to fade, so that it is tried again.
 	staleAfter  = 2 * time.Second
 	zoneCost    = 1.0
-	regionCost  = 1.6
-	farCost     = 4.0
+	regionCost  = 3.0
+	farCost     = 8.0
 	refusedCost = 4.0
 	refusedHold = 100 * time.Millisecond
 	loadHold    = time.Second
