--- /dev/null
+++ b/internal/daemon/node/depth_test.go
@@ -0,0 +1,127 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/call/runner"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+)
+
+// next makes the backend servers of a service call a path through their own
+// nodes, as one service calls another.
+func (f *fleet) next(service, path string) {
+	for _, h := range f.hostsOf(service) {
+		client := f.clientOf(h.ip)
+		f.cleanup = append(f.cleanup, client.CloseIdleConnections)
+		h.backend.SetNext(func(ctx context.Context, r *http.Request) error {
+			req, err := http.NewRequestWithContext(ctx, "GET", "http://"+h.ip+":8080"+path, nil)
+			if err != nil {
+				return err
+			}
+			req.Header.Set("Authorization", r.Header.Get("Authorization"))
+			req.Header.Set(runner.HeaderDepth, r.Header.Get(runner.HeaderDepth))
+			resp, err := client.Do(req)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return err
+			}
+			if resp.StatusCode != http.StatusOK {
+				return errors.Newf("next service answered %d", resp.StatusCode)
+			}
+			return nil
+		})
+	}
+}
+
+func TestInnerCallsAreNotRetried(t *testing.T) {
+	withFleet(t, 9, 40, func(f *fleet) {
+		f.next("status-portal", "/claims/list")
+		f.next("claims-desk", "/flights/schedule")
+		for _, h := range f.hostsOf("flight-records") {
+			h.backend.SetFaults(backend.Faults{Fail: 0.5})
+		}
+		const calls = 300
+		good := 0
+		for i := range calls {
+			if f.call(f.hosts[i%9], "GET", "/status/claim", "passenger").status == 200 {
+				good++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		last := int64(0)
+		for _, h := range f.hostsOf("flight-records") {
+			last += h.backend.Stats().Runs
+		}
+		t.Logf("%d calls of depth 3, half of the last hop's fail: %d reached it, %d good", calls, last, good)
+		require.LessOrEqual(t, last, int64(calls)*12/10+9*3, "1.2 times the calls made, and the first retries of each entry")
+	})
+}
+
+func TestStarvedClassShowsInTheBurnReport(t *testing.T) {
+	withFleet(t, 3, 41, func(f *fleet) {
+		portal := f.hostsOf("status-portal")[0]
+		portal.backend.SetFaults(backend.Faults{Slow: 50}) // 100 ms, 20 slots: 200 calls a second
+		stopHigh := f.background(150, func(i int) reply { return f.call(f.hosts[i%3], "GET", "/status/claim", "solicitor") })
+		stopLow := f.background(350, func(i int) reply { return f.call(f.hosts[i%3], "GET", "/status/claim", "passenger") })
+		time.Sleep(20 * time.Second)
+		high, low := share(stopHigh()), share(stopLow())
+		report := f.hosts[1].node.Burn(context.Background())
+		t.Logf("in deadline: solicitor %.1f%%, passenger %.1f%%; heard %d nodes", 100*high, 100*low, report.Heard)
+		require.GreaterOrEqual(t, high, 0.99, "paid priority holds when capacity is short")
+		require.Less(t, low, 0.5)
+		require.Equal(t, 3, report.Heard)
+		require.Empty(t, report.Missing)
+		var table strings.Builder
+		require.NoError(t, report.WriteTable(&table))
+		for _, row := range report.Rows {
+			if row.Key.Service != "status-portal" {
+				continue
+			}
+			if row.Key.Class == "passenger" {
+				require.Contains(t, row.Alerts, "page", table.String())
+				require.Negative(t, row.BudgetLeft)
+			}
+			if row.Key.Class == "solicitor" {
+				require.NotContains(t, row.Alerts, "page", table.String())
+			}
+		}
+	})
+}
+
+func TestBurnReportNamesWhomItDidNotHear(t *testing.T) {
+	withFleet(t, 6, 42, func(f *fleet) {
+		for _, h := range f.hosts[:5] {
+			f.net.Cut(h.ip, f.hosts[5].ip)
+		}
+		began := time.Now()
+		report := f.hosts[0].node.Burn(context.Background())
+		require.Equal(t, []string{f.hosts[5].ip}, report.Missing)
+		require.Equal(t, 5, report.Heard)
+		require.LessOrEqual(t, time.Since(began), 3*time.Second)
+		var page strings.Builder
+		require.NoError(t, report.WriteHTML(&page))
+		require.Contains(t, page.String(), fmt.Sprintf("Not heard: %s", f.hosts[5].ip))
+	})
+}
+
+func share(replies []reply) float64 {
+	good := 0
+	for _, r := range replies {
+		if r.status == 200 {
+			good++
+		}
+	}
+	return float64(good) / float64(len(replies))
+}
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -46,6 +46,8 @@
 	client *http.Client
 	opts   []node.Option
 	tune   func(*node.Settings)
+	// cleanup is done when the test ends.
+	cleanup []func()
 }
 
 // reply is what a caller got.
@@ -260,6 +262,9 @@
 		}
 	}
 	f.client.CloseIdleConnections()
+	for _, done := range f.cleanup {
+		done()
+	}
 	for _, h := range f.hosts {
 		f.net.Kill(h.ip)
 	}
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -108,9 +108,6 @@
 // WithServiceTime sets how long a request takes.
 func WithServiceTime(d time.Duration) Option { return func(s *Server) { s.serviceTime = d } }
 
-// WithNext sets a call to another service.
-func WithNext(n Next) Option { return func(s *Server) { s.next = n } }
-
 // WithClient replaces the HTTP client for announcements, for tests.
 func WithClient(c *http.Client) Option { return func(s *Server) { s.client = c } }
 
@@ -234,6 +231,13 @@
 	s.faults = f
 }
 
+// SetNext sets a call to another service that each request makes.
+func (s *Server) SetNext(n Next) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = n
+}
+
 // Drain asks the node for no more new work.
 func (s *Server) Drain(ctx context.Context) error {
 	return s.tell(ctx, http.MethodPost, "/v1/backend/drain", nil)
@@ -339,8 +343,11 @@
 		http.Error(w, "failed on purpose", http.StatusInternalServerError)
 		return
 	}
-	if s.next != nil {
-		if err := s.next(r.Context(), r); err != nil {
+	s.mu.Lock()
+	next := s.next
+	s.mu.Unlock()
+	if next != nil {
+		if err := next(r.Context(), r); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
 		}
