--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -286,7 +286,8 @@
 		// The connection could not be made: the attempt is spent all the same.
 		t.voidClaim(call)
 	}
-	t.attempts.finish(call.Attempt, answer)
+	kept := *answer // the caller's copy is still completed with the load
+	t.attempts.finish(call.Attempt, &kept)
 	return answer
 }
 
--- a/internal/daemon/node/chaos_test.go
+++ b/internal/daemon/node/chaos_test.go
@@ -141,7 +141,6 @@
 	runs := h.backend
 	c.start(h, 10_000+c.next)
 	h.backend.Adopt(runs)
-	h.killed = false
 }
 
 func (c *chaos) restartBackend(h *host) {
@@ -157,16 +156,14 @@
 // work calls, files and publishes until stopped.
 func (c *chaos) work() {
 	c.wg.Add(3)
-	go c.loop(20*time.Millisecond, func(rng *rand.Rand) { c.callOnce(rng) })
-	go c.loop(50*time.Millisecond, func(rng *rand.Rand) { c.fileTwice(rng) })
-	go c.loop(700*time.Millisecond, func(rng *rand.Rand) { c.publishOne(rng) })
+	go c.loop(20*time.Millisecond, c.rng.Uint64(), func(rng *rand.Rand) { c.callOnce(rng) })
+	go c.loop(50*time.Millisecond, c.rng.Uint64(), func(rng *rand.Rand) { c.fileTwice(rng) })
+	go c.loop(700*time.Millisecond, c.rng.Uint64(), func(rng *rand.Rand) { c.publishOne(rng) })
 }
 
-func (c *chaos) loop(period time.Duration, one func(*rand.Rand)) {
+func (c *chaos) loop(period time.Duration, seed uint64, one func(*rand.Rand)) {
 	defer c.wg.Done()
-	c.mu.Lock()
-	rng := rand.New(rand.NewPCG(c.rng.Uint64(), 0))
-	c.mu.Unlock()
+	rng := rand.New(rand.NewPCG(seed, 0))
 	for {
 		select {
 		case <-c.stop:
@@ -208,12 +205,12 @@
 }
 
 func (c *chaos) publishOne(rng *rand.Rand) {
-	h := c.hosts[rng.IntN(len(c.hosts))]
-	if h.killed {
+	n := c.living(c.hosts[rng.IntN(len(c.hosts))])
+	if n == nil {
 		return
 	}
-	_, version := h.node.Store().Tree()
-	d, err := h.node.Publisher().Publish(context.Background(), cicadaseam.Change{
+	_, version := n.Store().Tree()
+	d, err := n.Publisher().Publish(context.Background(), cicadaseam.Change{
 		ID: uuid.NewString(), Base: version,
 		Edits: []cicadaseam.Edit{{Path: "scope:georgia-east/*/flight-records", Key: "deadline", Value: fmt.Sprintf("%dms", 1000+rng.IntN(500))}},
 	})
--- a/internal/daemon/node/failure_test.go
+++ b/internal/daemon/node/failure_test.go
@@ -111,7 +111,6 @@
 		require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
 		f.log.SetFaults(logstore.Faults{Outage: true}) // it has only its peers
 		f.start(h, 99)
-		h.killed = false
 		for range 500 {
 			r := f.call(h, "GET", "/status/claim", "passenger")
 			if r.err == nil && r.status == 200 {
@@ -282,7 +281,6 @@
 		}
 		for i, h := range f.hosts {
 			f.start(h, uint64(1000+i))
-			h.killed = false
 		}
 		began := time.Now()
 		f.settle()
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,7 +40,9 @@
 
 // fleet is a few hosts on a network in memory, in virtual time.
 type fleet struct {
-	t      *testing.T
+	t *testing.T
+	// mu guards the node of a host where a test calls while it restarts hosts.
+	mu     sync.Mutex
 	net    *network.Network
 	log    *logstore.Store
 	hosts  []*host
@@ -118,7 +121,9 @@
 	n, err := node.New(s, f.log, opts...)
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
+	f.mu.Lock()
 	h.node, h.stop, h.killed = n, stop, false
+	f.mu.Unlock()
 	h.done = make(chan error, 1)
 	go func() { h.done <- n.Run(ctx) }()
 	f.startBackend(h)
@@ -131,9 +136,21 @@
 	h.backend.Start(l, "http://"+h.ip+":8081")
 }
 
+// living returns the node of a host, or nil when it was killed.
+func (f *fleet) living(h *host) *node.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h.killed {
+		return nil
+	}
+	return h.node
+}
+
 // kill ends a host at once: its node, its backend server, its connections.
 func (f *fleet) kill(h *host) {
+	f.mu.Lock()
 	h.killed = true
+	f.mu.Unlock()
 	f.net.Kill(h.ip)
 	h.backend.Kill()
 	h.stop()
--- a/internal/daemon/node/once_test.go
+++ b/internal/daemon/node/once_test.go
@@ -239,7 +239,6 @@
 		}
 		for i, h := range f.hosts {
 			f.start(h, uint64(500+i))
-			h.killed = false
 		}
 		f.settle()
 		for i, key := range keys {
--- a/internal/link/mux/mux_test.go
+++ b/internal/link/mux/mux_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,8 +180,8 @@
 }
 
 func TestDoubledRequestRunsOnce(t *testing.T) {
-	runs := 0
-	h := HandlerFunc(func(context.Context, uint8, []byte) ([]byte, error) { runs++; return nil, nil })
+	var runs atomic.Int64
+	h := HandlerFunc(func(context.Context, uint8, []byte) ([]byte, error) { runs.Add(1); return nil, nil })
 	synctest.Test(t, func(t *testing.T) {
 		server := NewServer(h)
 		near, far := net.Pipe()
@@ -201,7 +202,7 @@
 		}
 		require.NoError(t, w.Flush())
 		time.Sleep(time.Second)
-		require.Equal(t, 1, runs)
+		require.Equal(t, int64(1), runs.Load())
 		require.NoError(t, near.Close())
 		server.Close()
 	})
