--- /dev/null
+++ b/internal/bench/plan/plan.go
@@ -0,0 +1,105 @@
+// Package plan lays out a fleet for an experiment.
+//
+// # Model
+//
+// N nodes stand in 10 zones of 3 regions, as the letter asks to design for,
+// with a backend server of one of 19 services each.
+//
+// # Usage
+//
+//	p := plan.New(64)
+//	change := p.Tree()
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// Counts of the letter.
+const (
+	Zones    = 10
+	Regions  = 3
+	Services = 19
+	// Deployment is the name of the one deployment.
+	Deployment = "bench"
+	// Token is the bearer token of the one customer.
+	Token = "bench-token"
+	// Slots are the slots of each backend server.
+	Slots = 20
+)
+
+// Host is one node and its backend server.
+type Host struct {
+	Index   int
+	Name    string
+	Place   cicadaseam.Place
+	Service string
+}
+
+// Plan is a layout.
+type Plan struct {
+	Hosts []Host
+}
+
+// New returns the layout of n hosts.
+func New(n int) Plan {
+	var p Plan
+	for i := range n {
+		zone := i % Zones
+		p.Hosts = append(p.Hosts, Host{
+			Index:   i,
+			Name:    fmt.Sprintf("node-%d", i),
+			Place:   cicadaseam.Place{Region: fmt.Sprintf("region-%d", zone%Regions), Deployment: Deployment, Zone: ZoneName(zone)},
+			Service: ServiceName(i % min(Services, n)),
+		})
+	}
+	return p
+}
+
+// ZoneName returns the name of the i-th zone.
+func ZoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
+// ServiceName returns the name of the i-th service.
+func ServiceName(i int) string { return fmt.Sprintf("service-%d", i) }
+
+// Path returns a path that leads to the i-th service.
+func Path(i int) string { return fmt.Sprintf("/s%d/x", i) }
+
+// Tree returns the first change of the fleet.
+func (p Plan) Tree() cicadaseam.Change {
+	c := cicadaseam.Change{ID: "bench-tree", Author: "bench"}
+	set := func(path, key, value string) {
+		c.Edits = append(c.Edits, cicadaseam.Edit{Path: path, Key: key, Value: value})
+	}
+	for i := range Zones {
+		set("zone:"+ZoneName(i), "deployment", Deployment)
+		set("zone:"+ZoneName(i), "region", fmt.Sprintf("region-%d", i%Regions))
+	}
+	sum := sha256.Sum256([]byte(Token))
+	for i, class := range []string{"low", "middle", "high"} {
+		set("class:"+class, "priority", fmt.Sprint(10*(i+1)))
+	}
+	set("customer:bench", "credential", hex.EncodeToString(sum[:]))
+	set("customer:bench", "class", "high")
+	for i := range Services {
+		name := ServiceName(i)
+		set("service:"+name, "owner", "bench")
+		set("route:"+name, "prefix", fmt.Sprintf("/s%d/", i))
+		set("route:"+name, "service", name)
+		set("scope:bench/*/"+name, "deadline", "2s")
+	}
+	set("scope:*", "slow-start", "0s")
+	return c
+}
+
+// Tune returns the n-th later change, based on a version.
+func (p Plan) Tune(n int, base cicadaseam.Offset) cicadaseam.Change {
+	return cicadaseam.Change{
+		ID: fmt.Sprintf("bench-%d", n), Base: base, Author: "bench",
+		Edits: []cicadaseam.Edit{{Path: "scope:bench/*/" + ServiceName(n%Services), Key: "deadline", Value: fmt.Sprintf("%dms", 2000+n)}},
+	}
+}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/call/target"
 	"github.com/cicadaseam/cicadaseam/internal/config/feed"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
+	"github.com/cicadaseam/cicadaseam/internal/config/spread"
 	"github.com/cicadaseam/cicadaseam/internal/config/store"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
@@ -61,7 +62,6 @@
 	dialer   runner.Dialer
 	logger   *zap.Logger
 	seed     uint64
-	feedOpts []feed.Option
 
 	id        string
 	timers    *timer.Service
@@ -100,9 +100,6 @@
 // WithSeed fixes the seed of all random choices.
 func WithSeed(seed uint64) Option { return func(x *Node) { x.seed = seed } }
 
-// WithFeed passes options on to the configuration feed, for experiments.
-func WithFeed(opts ...feed.Option) Option { return func(x *Node) { x.feedOpts = opts } }
-
 // New returns a node that listens but does not yet work.
 func New(s Settings, log cicadaseam.Log, opts ...Option) (*Node, error) {
 	n := &Node{settings: s, log: log, network: netio.New(), logger: zap.NewNop(), id: newID()}
@@ -186,8 +183,9 @@
 	n.gossip = gossip.New(self, n.network, n.pool, n.timers, n.rng(2),
 		gossip.WithPeriod(s.ProbePeriod), gossip.WithHead(n.head, n.heard), gossip.WithMarks(n.takeMarks))
 	n.announcer = announce.New(n.log, n.gossip, n.rng(3), announce.WithSeeds(s.Seeds), announce.WithLogger(n.logger))
-	opts := append([]feed.Option{feed.WithLogger(n.logger), feed.WithReadyWait(s.ReadyWait)}, n.feedOpts...)
-	n.feed = feed.New(n.log, n.store, n.gossip, n.pool, n.timers, n.rng(4), opts...)
+	n.feed = feed.New(n.log, n.store, n.gossip, n.pool, n.timers, n.rng(4),
+		feed.WithLogger(n.logger), feed.WithReadyWait(s.ReadyWait), feed.WithFanout(s.Fanout),
+		feed.WithSpread(spread.New(n.rng(6), spread.WithReaders(s.Readers))))
 	n.publisher = publish.New(n.log, n.store, publish.WithLogger(n.logger), publish.WithIngest(n.feed.Ingest))
 	n.writer = ledger.NewWriter(n.log, ledger.WithWindow(s.LedgerWindow), ledger.WithInterval(s.LedgerFlush), ledger.WithLogger(n.logger))
 	n.ledger = ledger.NewClient(n.gossip, n.pool, n.writer)
@@ -343,6 +341,7 @@
 	n.duty(func() { n.feed.Run(ctx) })
 	n.duty(func() { n.writer.Run(ctx) })
 	n.duty(func() { n.backend.run(ctx) })
+	n.duty(func() { n.watchMembers(ctx) })
 	keep := n.timers.Subscribe(ledger.KeepPeriod())
 	n.duty(func() { n.ledger.RunKeep(ctx, keep.C) })
 	n.serve(n.listeners.calls, n.entry)
@@ -350,6 +349,26 @@
 	n.serve(n.listeners.operator, n.operatorHandler())
 }
 
+// watchMembers logs members that come and go.
+func (n *Node) watchMembers(ctx context.Context) {
+	known := map[string]cicadaseam.MemberState{}
+	for {
+		changed := n.gossip.Changed()
+		for _, s := range n.gossip.View().Members {
+			was, seen := known[s.Member.ID]
+			known[s.Member.ID] = s.Member.State
+			if s.Member.State != was && (seen || s.Member.State != cicadaseam.MemberAlive) {
+				n.logger.Info("member changed", zap.String("member", s.Member.Name), zap.Stringer("was", was), zap.Stringer("is", s.Member.State))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 func (n *Node) duty(f func()) {
 	n.wg.Add(1)
 	go func() {
--- a/internal/daemon/node/settings.go
+++ b/internal/daemon/node/settings.go
@@ -7,6 +7,7 @@
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
+	"github.com/cicadaseam/cicadaseam/internal/config/spread"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/member/detect"
 )
@@ -28,6 +29,8 @@
 	Token  string
 	Seeds  []string
 
+	Readers      int
+	Fanout       int
 	ProbePeriod  time.Duration
 	Silence      time.Duration
 	Heartbeat    time.Duration
@@ -55,6 +58,8 @@
 		settings.Must(settings.String(&s.LogURL, "log", "url", "", "URL of the platform's log")),
 		settings.String(&s.Token, "operator", "token", "", "bearer token for operators; without one the address must be loopback"),
 		settings.List(&s.Seeds, "member", "seeds", "", "link addresses of nodes to join through, before the log is asked"),
+		settings.Int(&s.Readers, "spread", "readers", spread.DefaultReaders, 1, 100000, "nodes of each zone", "nodes of each zone that tail the log"),
+		settings.Int(&s.Fanout, "spread", "fanout", spread.DefaultFanout, 0, 64, "nodes", "nodes that each node pushes records to; 0 leaves all to gossip"),
 		settings.Duration(&s.ProbePeriod, "member", "probe-period", detect.DefaultPeriod, 50*time.Millisecond, time.Minute, "time between two probes"),
 		settings.Duration(&s.Silence, "link", "silence", mux.DefaultSilence, 50*time.Millisecond, time.Minute, "time without a byte after which a connection in use is replaced"),
 		settings.Duration(&s.Heartbeat, "link", "heartbeat", mux.DefaultHeartbeat, 10*time.Millisecond, 10*time.Second, "time between heartbeats on a connection in use"),
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -191,8 +191,12 @@
 }
 
 func (s *Server) announce(ctx context.Context) error {
+	addr := s.Addr()
+	s.mu.Lock()
+	instance := s.instance
+	s.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.Addr(), "slots": s.slots, "connections": s.connections, "instance": s.instance,
+		"service": s.service, "address": addr, "slots": s.slots, "connections": s.connections, "instance": instance,
 	})
 	if err != nil {
 		return err
@@ -243,6 +247,14 @@
 	return s.tell(ctx, http.MethodPost, "/v1/backend/drain", nil)
 }
 
+// Return announces the server anew after a drain.
+func (s *Server) Return(ctx context.Context) error {
+	s.mu.Lock()
+	s.instance = fmt.Sprintf("%016x", s.rng.Uint64())
+	s.mu.Unlock()
+	return s.announce(ctx)
+}
+
 // Stop says goodbye and stops, letting requests in flight finish.
 func (s *Server) Stop() {
 	s.stop()
