A change is in force within milliseconds right after an outage of the log

Cause: readers of other zones sat in their backoff, and the change came to them by gossip repair alone: 2.4 to 2.6 s until the last of 16 nodes. The publisher now hands its records to the first reader of each other zone, and any fresher word of the log ends a backoff.

--- a/internal/bench/procs/observe.go
+++ b/internal/bench/procs/observe.go
@@ -19,10 +19,11 @@
 
 // lines reads the log lines of a node as they come.
 type lines struct {
-	mu      sync.Mutex
-	partial []byte
-	taken   map[cicadaseam.Offset]time.Time
-	members map[string]time.Time // "NAME STATE" to its first time
+	mu       sync.Mutex
+	partial  []byte
+	lastLine string
+	taken    map[cicadaseam.Offset]time.Time
+	members  map[string]time.Time // "NAME STATE" to its first time
 }
 
 type logLine struct {
@@ -52,7 +53,15 @@
 	}
 }
 
+// last returns the last line, which says why a process ended.
+func (l *lines) last() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastLine
+}
+
 func (l *lines) note(line []byte) {
+	l.lastLine = string(line)
 	var x logLine
 	if json.Unmarshal(line, &x) != nil {
 		return
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -129,16 +129,34 @@
 	return n, nil
 }
 
-// freeAddrs returns loopback addresses that are free for TCP and UDP now.
+// Ports below the range that the system hands out to connections, so that none
+// of those can take a port between the look and its use.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort is the next port to look at.
+var nextPort = firstPort + os.Getpid()%8000
+
+// freeAddrs returns loopback addresses that are free now.
 func freeAddrs(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("no free port")
+		}
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free address")
+			continue
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		_ = l.Close() // it was opened only to see whether it opens
+		out = append(out, addr)
 	}
 	return out, nil
 }
@@ -251,6 +269,9 @@
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, n := range f.Nodes {
 		for {
+			if !n.running() {
+				return errors.Newf("%s ended: %s", n.Host.Name, n.lines.last())
+			}
 			fleet, err := n.metrics(ctx)
 			if err == nil && fleet["member.alive"] == float64(len(f.Nodes)-1) && fleet["config.version"] > 0 {
 				break
--- a/internal/config/feed/feed.go
+++ b/internal/config/feed/feed.go
@@ -242,10 +242,19 @@
 	return nil
 }
 
-// Ingest takes records that another part of this node read from the log, and
-// pushes the new ones with this node as the root.
+// Ingest takes records that the publisher of this node read from the log. The
+// new ones go to the own zone with this node as the root, and to the first
+// reader of each other zone, whose own poll may be in a backoff.
 func (f *Feed) Ingest(ctx context.Context, records []cicadaseam.Record) error {
-	return f.ingest(ctx, records, f.fleet.View().Self.ID)
+	f.mu.Lock()
+	f.spread.Confirmed(time.Now(), 0)
+	f.mu.Unlock()
+	fresh, err := f.store.Ingest(records)
+	if len(fresh) > 0 {
+		f.push(ctx, fresh, f.fleet.View().Self.ID)
+		f.pushHeads(ctx, fresh)
+	}
+	return err
 }
 
 // ingest takes records and pushes the new ones along the tree of a root.
--- a/internal/config/feed/push.go
+++ b/internal/config/feed/push.go
@@ -38,12 +38,8 @@
 
 // push hands records to the children of this node in the tree of root.
 func (f *Feed) push(ctx context.Context, records []cicadaseam.Record, root string) {
-	if f.fanout == 0 {
-		return
-	}
-	message := pushMessage{Root: root, Records: records, Age: f.Head().Age}
-	payload, err := method.Encode(&message)
-	if err != nil {
+	payload, err := f.pushPayload(records, root)
+	if f.fanout == 0 || err != nil {
 		return
 	}
 	// A push outlives the read that brought the records.
@@ -57,6 +53,30 @@
 	}
 }
 
+// pushHeads hands records to the first reader of each other zone, which is the
+// root of the tree of its zone.
+func (f *Feed) pushHeads(ctx context.Context, records []cicadaseam.Record) {
+	if f.fanout == 0 {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	for _, head := range spread.Heads(f.fleet.View()) {
+		payload, err := f.pushPayload(records, head.ID)
+		if err != nil {
+			return
+		}
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			_ = f.pushOnce(ctx, head.Addr, payload) // its own poll, or gossip, repairs it
+		}()
+	}
+}
+
+func (f *Feed) pushPayload(records []cicadaseam.Record, root string) ([]byte, error) {
+	return method.Encode(&pushMessage{Root: root, Records: records, Age: f.Head().Age})
+}
+
 // pushTo hands records to one child, or to its children when it is lost.
 func (f *Feed) pushTo(ctx context.Context, child cicadaseam.Member, payload []byte, root string) {
 	if f.pushOnce(ctx, child.Addr, payload) == nil {
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -43,7 +43,13 @@
 	fetchGrace      = 150 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
 	backoffFirst    = 200 * time.Millisecond
-	backoffCap      = 15 * time.Second
+	// readerCap and othersCap bound the wait between polls after failures. The
+	// readers are few, so that they may ask often.
+	readerCap = 2 * time.Second
+	othersCap = 30 * time.Second
+	// againWithin spreads the polls of those that learn that the log answers
+	// again.
+	againWithin = 200 * time.Millisecond
 	// settle is how long a new node waits for peers before it asks the log.
 	settle = 1500 * time.Millisecond
 )
@@ -89,6 +95,7 @@
 	polling     bool
 	pollAt      time.Time
 	failures    int
+	failedAt    time.Time
 	tailUntil   time.Time
 	ageLimit    time.Duration
 
@@ -187,8 +194,8 @@
 
 // Heard takes what a peer tells about the configuration.
 func (s *Spread) Heard(now time.Time, addr string, h cicadaseam.Head, position cicadaseam.Offset) {
-	if at := now.Add(-h.Age); h.Position > 0 && at.After(s.confirmedAt) {
-		s.confirmedAt = at
+	if h.Position > 0 {
+		s.Confirmed(now, h.Age)
 	}
 	if h.Applied <= position || h.Applied < s.head {
 		return
@@ -222,15 +229,31 @@
 		s.pollAt = now
 		return
 	}
-	limit := min(backoffFirst<<min(s.failures, 10), backoffCap)
+	limit := othersCap
+	if s.isReader {
+		limit = readerCap
+	}
+	limit = min(backoffFirst<<min(s.failures, 10), limit)
 	s.failures++
+	s.failedAt = now
 	s.pollAt = now.Add(time.Duration(s.rng.Int64N(int64(limit))))
 }
 
-// Confirmed takes the age of the log's answer that came with a push.
+// Confirmed takes the age of an answer of the log that another node had. An
+// answer that is newer than the own failure ends the backoff.
 func (s *Spread) Confirmed(now time.Time, age time.Duration) {
-	if at := now.Add(-age); at.After(s.confirmedAt) {
-		s.confirmedAt = at
+	at := now.Add(-age)
+	if !at.After(s.confirmedAt) {
+		return
+	}
+	s.confirmedAt = at
+	if s.failures == 0 || !at.After(s.failedAt) {
+		return
+	}
+	s.failures = 0
+	again := now.Add(time.Duration(s.rng.Int64N(int64(againWithin))))
+	if again.Before(s.pollAt) {
+		s.pollAt = again
 	}
 }
 
@@ -247,6 +270,23 @@
 	return max(s.head, position)
 }
 
+// Heads returns the first reader of each zone but the own one. A node that has
+// records which no reader may have yet hands them to these, each the root of
+// the tree of its zone.
+func Heads(v *view.View) []cicadaseam.Member {
+	zones := map[string][]cicadaseam.Member{}
+	for _, m := range v.Live("") {
+		zones[m.Place.Zone] = append(zones[m.Place.Zone], m)
+	}
+	var out []cicadaseam.Member
+	for zone, members := range zones {
+		if zone != v.Self.Place.Zone {
+			out = append(out, view.Order("reader "+zone, members)[0])
+		}
+	}
+	return out
+}
+
 // Children returns whom to push to in the tree of a root over one zone. Every
 // node with the same view computes the same tree.
 func Children(v *view.View, root string, fanout int) []cicadaseam.Member {
--- /dev/null
+++ b/internal/daemon/node/bench_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/examples"
+	"github.com/cicadaseam/cicadaseam/internal/config/changefile"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
+)
+
+// pair is an entry node and a target node on loopback TCP, with one backend
+// server beside the target.
+type pair struct {
+	entry, target *node.Node
+	backend       *backend.Server
+}
+
+func startPair(tb testing.TB) pair {
+	log := logstore.New()
+	start := func(zone string) *node.Node {
+		var s node.Settings
+		require.NoError(tb, node.Defaults(&s))
+		s.Name, s.Place = zone, cicadaseam.Place{Region: "us-southeast", Deployment: "georgia-east", Zone: zone}
+		s.CallAddr, s.LinkAddr, s.BackendAddr, s.OperatorAddr = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		n, err := node.New(s, log)
+		require.NoError(tb, err)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		tb.Cleanup(func() { stop(); <-done })
+		return n
+	}
+	p := pair{entry: start("atl-north"), target: start("atl-south")}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	p.backend = backend.New("status-portal", backend.WithSlots(500), backend.WithConnections(500), backend.WithServiceTime(0))
+	p.backend.Start(l, "http://"+p.target.Addrs().Backend)
+	tb.Cleanup(p.backend.Kill)
+	data, err := examples.Files.ReadFile("peachtree.ini")
+	require.NoError(tb, err)
+	f, err := changefile.Parse("peachtree.ini", data)
+	require.NoError(tb, err)
+	f.Change.ID = "tree"
+	_, err = p.entry.Publisher().Publish(context.Background(), f.Change)
+	require.NoError(tb, err)
+	<-p.entry.Ready()
+	<-p.target.Ready()
+	for p.entry.ReadyBackends() == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return p
+}
+
+func get(tb testing.TB, client *http.Client, url string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(tb, err)
+	req.Header.Set("Authorization", "Bearer passenger-token")
+	resp, err := client.Do(req)
+	require.NoError(tb, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(tb, err)
+	require.NoError(tb, resp.Body.Close())
+	require.Equal(tb, http.StatusOK, resp.StatusCode)
+}
+
+// BenchmarkCall compares a call through entry and target with a call to the
+// same backend server.
+func BenchmarkCall(b *testing.B) {
+	p := startPair(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	for name, url := range map[string]string{
+		"direct":  "http://" + p.backend.Addr() + "/status/claim",
+		"through": "http://" + p.entry.Addrs().Calls + "/status/claim",
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				get(b, client, url)
+			}
+		})
+	}
+}
