--- a/internal/config/feed/feed.go
+++ b/internal/config/feed/feed.go
@@ -44,11 +44,13 @@
 	// reaches neither peers nor the log.
 	DefaultReadyWait = 15 * time.Second
 	DefaultPollWait  = time.Second
-	tickPeriod       = 50 * time.Millisecond
+	tickPeriod       = 100 * time.Millisecond
 	readLimit        = 500
 	callTimeout      = 2 * time.Second
 	pushTimeout      = 1200 * time.Millisecond
 	pollMargin       = 2 * time.Second
+	// maxRoots bounds the roots that are remembered.
+	maxRoots = 256
 )
 
 // Fleet is what the feed needs of membership.
@@ -89,6 +91,8 @@
 	began    time.Time
 	ready    chan struct{}
 	readySet bool
+	// handedOn is the last record handed on in the tree of each root.
+	handedOn map[string]cicadaseam.Offset
 	wg       sync.WaitGroup
 }
 
@@ -125,6 +129,7 @@
 		snapEvery: DefaultSnapshotPeriod,
 		spread:    spread.New(rng),
 		ready:     make(chan struct{}),
+		handedOn:  map[string]cicadaseam.Offset{},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -225,7 +230,7 @@
 		f.counts.LogErrors.Add(1)
 		return err
 	}
-	return f.ingest(ctx, records, f.fleet.View().Self.ID)
+	return f.ingest(ctx, records)
 }
 
 // pastTrim goes on after records that the log no longer keeps: from a peer's
@@ -257,11 +262,11 @@
 	return err
 }
 
-// ingest takes records and pushes the new ones along the tree of a root.
-func (f *Feed) ingest(ctx context.Context, records []cicadaseam.Record, root string) error {
+// ingest takes records and pushes the new ones with this node as the root.
+func (f *Feed) ingest(ctx context.Context, records []cicadaseam.Record) error {
 	fresh, err := f.store.Ingest(records)
 	if len(fresh) > 0 {
-		f.push(ctx, fresh, root)
+		f.push(ctx, fresh, f.fleet.View().Self.ID)
 	}
 	var halted *fold.HaltedError
 	if errors.As(err, &halted) {
--- a/internal/config/feed/push.go
+++ b/internal/config/feed/push.go
@@ -104,12 +104,14 @@
 		return nil, err
 	}
 	f.counts.PushesIn.Add(1)
-	before, _ := f.store.Position()
-	err := f.ingest(context.Background(), message.Records, message.Root)
-	position, _ := f.store.Position()
-	if position > before {
+	fresh, err := f.store.Ingest(message.Records)
+	if len(fresh) > 0 {
 		f.counts.PushesNew.Add(1)
 	}
+	if onward := f.onward(message); len(onward) > 0 {
+		f.push(context.Background(), onward, message.Root)
+	}
+	position, _ := f.store.Position()
 	f.mu.Lock()
 	f.spread.Confirmed(time.Now(), message.Age)
 	f.mu.Unlock()
@@ -119,6 +121,28 @@
 	return method.Encode(&pushAnswer{Position: position})
 }
 
+// onward returns the records of a push that this node has not yet handed on in
+// the tree of their root. Each tree is walked to its end whatever the others
+// brought: a node that handed on only what is new to itself would leave out
+// members whose parents, one in each tree, heard of the record from the other
+// one first.
+func (f *Feed) onward(message pushMessage) []cicadaseam.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.handedOn) > maxRoots {
+		f.handedOn = map[string]cicadaseam.Offset{}
+	}
+	last := f.handedOn[message.Root]
+	var out []cicadaseam.Record
+	for _, r := range message.Records {
+		if r.Offset > last {
+			out = append(out, r)
+			f.handedOn[message.Root] = r.Offset
+		}
+	}
+	return out
+}
+
 // fetch asks a peer for what follows the position of this node.
 func (f *Feed) fetch(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
