The HTTP client never sends a request to a backend server twice by itself

The client of the standard library repeats requests with an Idempotency-Key, and GETs, when a kept connection breaks under them. An empty POST no longer needs a chunked body for it.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -187,14 +187,11 @@
 }
 
 func (r *Runner) request(ctx context.Context, call *cicadaseam.Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+r.addr+call.Target, onceBody{bytes.NewReader(call.Body)})
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+r.addr+call.Target, bodyOf(call))
 	if err != nil {
 		return nil, errors.Wrapf(err, "request %s", call.Target)
 	}
 	req.ContentLength = int64(len(call.Body))
-	if len(call.Body) == 0 && (call.Method == http.MethodGet || call.Method == http.MethodHead) {
-		req.Body = http.NoBody
-	}
 	for _, h := range call.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
@@ -203,12 +200,35 @@
 	}
 	req.Header.Set(HeaderRequestID, call.ID)
 	req.Header.Set(HeaderDepth, strconv.Itoa(call.Depth+1))
-	if call.Key != "" {
-		req.Header.Set("Idempotency-Key", call.Key)
-	}
+	hideKeys(req.Header)
 	return req, nil
 }
 
+// bodyOf returns a body that the HTTP client cannot replay. A method that has
+// no body counts as replayable without one, so that a call that must not be
+// repeated gets an empty body that is read once.
+func bodyOf(call *cicadaseam.Call) io.Reader {
+	if len(call.Body) > 0 || (!call.Idempotent && lacksBody[call.Method]) {
+		return onceBody{bytes.NewReader(call.Body)}
+	}
+	return http.NoBody
+}
+
+// lacksBody are the methods that the HTTP client repeats by itself.
+var lacksBody = map[string]bool{http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true}
+
+// hideKeys spells the headers that make the HTTP client repeat any request in
+// lower case, by which it does not know them. To the backend server they are
+// the same.
+func hideKeys(h http.Header) {
+	for canonical, lower := range map[string]string{"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"} {
+		if values := h[canonical]; values != nil {
+			h[lower] = values
+			delete(h, canonical)
+		}
+	}
+}
+
 // hopByHop are headers of one connection, which are not passed on.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
