--- a/embed/embed.go
+++ b/embed/embed.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/call/balance"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
 	"github.com/cicadaseam/cicadaseam/internal/config/store"
@@ -53,9 +54,10 @@
 }
 
 const (
-	readLimit  = 500
-	readWait   = time.Second
-	backoffCap = 5 * time.Second
+	readLimit    = 500
+	readWait     = time.Second
+	backoffFirst = 50 * time.Millisecond
+	backoffCap   = 5 * time.Second
 )
 
 // NewConfig returns a configuration before its first record.
@@ -77,12 +79,8 @@
 			failures = 0
 			continue
 		}
-		limit := min(50*time.Millisecond<<min(failures, 10), backoffCap)
+		wait.Sleep(ctx, wait.Backoff(rand.Int64N, failures, backoffFirst, backoffCap))
 		failures++
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(rand.Int64N(int64(limit)))):
-		}
 	}
 }
 
--- a/internal/call/entry/entry.go
+++ b/internal/call/entry/entry.go
@@ -41,6 +41,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/call/balance"
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
 	"github.com/cicadaseam/cicadaseam/internal/call/quarantine"
@@ -156,17 +157,7 @@
 
 // Wait returns when no call is in flight or the context ends.
 func (e *Entry) Wait(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Group(ctx, &e.inFlight)
 }
 
 // ServeHTTP implements http.Handler.
@@ -276,7 +267,7 @@
 			return answer
 		}
 		e.counts.Retries.Add(1)
-		if !sleep(ctx, delay) {
+		if !wait.Sleep(ctx, delay) {
 			return answer
 		}
 		earlier = answer
@@ -416,7 +407,7 @@
 	if ce := e.logger.Check(zap.DebugLevel, "call ended"); ce != nil {
 		ce.Write(zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("class", x.call.Class),
 			zap.Stringer("outcome", answer.Outcome), zap.String("reason", string(answer.Reason)), zap.Int("status", answer.Status),
-			zap.Duration("took", now.Sub(x.began)))
+			zap.Uint64("version", uint64(x.table.Version)), zap.Duration("took", now.Sub(x.began)))
 	}
 }
 
@@ -443,17 +434,3 @@
 	id := uuid.New()
 	return hex.EncodeToString(id[:])
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/call/ledger/shard_test.go
+++ b/internal/call/ledger/shard_test.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"encoding/binary"
 	"flag"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -112,6 +114,29 @@
 	})
 }
 
+// The keys of a window of 12 hours at 10 filings a second, in one of 8 shards,
+// take their part of the 64 MB that control may use at a node.
+func TestMemoryOfAWindow(t *testing.T) {
+	const keys = 10 * 12 * 3600 / Shards
+	var before, after runtime.MemStats
+	s := NewShard()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range keys {
+		k := Key{Stamp: int64(i + 1)}
+		binary.BigEndian.PutUint32(k.Hash[:], uint32(i))
+		apply(t, s, cicadaseam.Offset(i+1), Batch{Ops: []Op{{Kind: OpClaim, Key: k, Attempt: fmt.Sprintf("%032d", i), Node: fmt.Sprintf("%016d", i%720), Addr: "10.0.0.1:7000"}}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d keys: %.1f MB, %d bytes a key", s.Len(), float64(used)/(1<<20), used/int64(s.Len()))
+	require.Equal(t, keys, s.Len())
+	const control = 64 << 20 // bytes, target of the letter
+	require.LessOrEqual(t, used, int64(control/2))
+	runtime.KeepAlive(s)
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(&Batch{Ops: []Op{claim(key(1, 5), "a")}})
 	require.NoError(f, err)
--- a/internal/call/retry/retry.go
+++ b/internal/call/retry/retry.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 )
 
 // Limits of the budget, in retries.
@@ -125,6 +126,5 @@
 	if a.Outcome == cicadaseam.OutcomeNotRun {
 		return 0
 	}
-	limit := min(firstDelay<<min(a.Number, 10), maxDelay)
-	return time.Duration(b.rng.Int64N(int64(limit)))
+	return wait.Backoff(b.rng.Int64N, a.Number, firstDelay, maxDelay)
 }
--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/call/admit"
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
 	"github.com/cicadaseam/cicadaseam/internal/call/quarantine"
@@ -193,17 +194,7 @@
 // Wait returns when nothing is in flight or the context ends. It reports
 // whether everything ended.
 func (t *Target) Wait(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		t.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Group(ctx, &t.inFlight)
 }
 
 // Close drops the connections to the backend server.
--- a/internal/command/benchcli/phases.go
+++ b/internal/command/benchcli/phases.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/bench/load"
 	"github.com/cicadaseam/cicadaseam/internal/bench/plan"
 	"github.com/cicadaseam/cicadaseam/internal/bench/procs"
@@ -101,11 +102,11 @@
 }
 
 func (e *experiment) idle(ctx context.Context) error {
-	if !pause(ctx, settleTime) {
+	if !wait.Sleep(ctx, settleTime) {
 		return ctx.Err()
 	}
 	before, after, err := e.measure(ctx, func() error {
-		pause(ctx, time.Duration(e.Seconds)*time.Second)
+		wait.Sleep(ctx, time.Duration(e.Seconds)*time.Second)
 		return ctx.Err()
 	})
 	if err != nil {
@@ -125,7 +126,7 @@
 			}
 			all = append(all, times...)
 			last = append(last, largest(times))
-			pause(ctx, 100*time.Millisecond)
+			wait.Sleep(ctx, 100*time.Millisecond)
 		}
 		return nil
 	})
@@ -173,7 +174,7 @@
 			if time.Now().After(deadline) {
 				return nil, errors.Newf("%s did not take version %d within %s", n.Host.Name, d.Version, convergeLimit)
 			}
-			pause(ctx, look)
+			wait.Sleep(ctx, look)
 		}
 	}
 	return times, nil
@@ -189,11 +190,11 @@
 			if err := n.Backend.Drain(ctx); err != nil {
 				return err
 			}
-			pause(ctx, 250*time.Millisecond)
+			wait.Sleep(ctx, 250*time.Millisecond)
 			if err := n.Backend.Return(ctx); err != nil {
 				return err
 			}
-			pause(ctx, 250*time.Millisecond)
+			wait.Sleep(ctx, 250*time.Millisecond)
 		}
 		return ctx.Err()
 	})
@@ -288,7 +289,7 @@
 				times = append(times, at.Sub(began).Seconds())
 				break
 			}
-			if time.Since(began) > limit || !pause(ctx, look) {
+			if time.Since(began) > limit || !wait.Sleep(ctx, look) {
 				return errors.Newf("%s did not learn that %s is dead within %s", n.Host.Name, victim.Host.Name, limit)
 			}
 		}
@@ -313,7 +314,7 @@
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	pause(ctx, length)
+	wait.Sleep(ctx, length)
 	if err := n.Signal(syscall.SIGCONT); err != nil {
 		return err
 	}
@@ -328,7 +329,7 @@
 	const length = 8 * time.Second
 	before := e.fleet.Log.Stats()
 	e.fleet.Log.SetFaults(logstore.Faults{Outage: true})
-	pause(ctx, length)
+	wait.Sleep(ctx, length)
 	e.fleet.Log.SetFaults(logstore.Faults{})
 	after := e.fleet.Log.Stats()
 	times, err := e.oneChange(ctx)
@@ -364,17 +365,6 @@
 	)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func rates(before, after []float64, seconds float64) []float64 {
 	out := make([]float64, min(len(before), len(after)))
 	for i := range out {
--- a/internal/command/cli/daemons.go
+++ b/internal/command/cli/daemons.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/demo"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
 	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
@@ -106,13 +107,13 @@
 }
 
 func runOutage(ctx context.Context, store *logstore.Store, faults logstore.Faults, after, length time.Duration) {
-	if !sleep(ctx, after) {
+	if !wait.Sleep(ctx, after) {
 		return
 	}
 	down := faults
 	down.Outage = true
 	store.SetFaults(down)
-	sleep(ctx, length)
+	wait.Sleep(ctx, length)
 	store.SetFaults(faults)
 }
 
@@ -147,7 +148,7 @@
 	b.Start(l, c.Node)
 	fmt.Fprintf(s.out, "backend %s listens on %s\n", name, l.Addr())
 	for ctx.Err() == nil && !b.Crashed() {
-		sleep(ctx, 50*time.Millisecond)
+		wait.Sleep(ctx, 50*time.Millisecond)
 	}
 	if b.Crashed() {
 		return errors.New("crashed by a request")
@@ -173,14 +174,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/command/cli/operate.go
+++ b/internal/command/cli/operate.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/config/changefile"
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/api"
@@ -116,7 +117,7 @@
 		if have == all {
 			return nil
 		}
-		if !sleep(ctx, look) {
+		if !wait.Sleep(ctx, look) {
 			return errors.Newf("%d of %d nodes did not reach version %d in time", all-have, all, version)
 		}
 	}
--- a/internal/config/publish/publish.go
+++ b/internal/config/publish/publish.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/config/change"
 	"github.com/cicadaseam/cicadaseam/internal/config/store"
 )
@@ -120,7 +121,7 @@
 		}
 		p.readOnce(ctx, readWait)
 		if _, known := p.store.Decision(id); !known {
-			sleep(ctx, backoff(attempt))
+			wait.Sleep(ctx, wait.Backoff(rand.Int64N, attempt, backoffFirst, backoffCap))
 		}
 	}
 }
@@ -152,18 +153,3 @@
 		p.logger.Warn("records not taken", zap.Error(err))
 	}
 }
-
-// backoff is capped exponential with full jitter.
-func backoff(attempt int) time.Duration {
-	limit := min(backoffFirst<<min(attempt, 10), backoffCap)
-	return time.Duration(rand.Int64N(int64(limit)))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/member/view"
 )
 
@@ -233,10 +234,9 @@
 	if s.isReader {
 		limit = readerCap
 	}
-	limit = min(backoffFirst<<min(s.failures, 10), limit)
+	s.pollAt = now.Add(wait.Backoff(s.rng.Int64N, s.failures, backoffFirst, limit))
 	s.failures++
 	s.failedAt = now
-	s.pollAt = now.Add(time.Duration(s.rng.Int64N(int64(limit))))
 }
 
 // Confirmed takes the age of an answer of the log that another node had. An
--- a/internal/daemon/demo/demo.go
+++ b/internal/daemon/demo/demo.go
@@ -22,6 +22,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/examples"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/config/changefile"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
 )
@@ -153,7 +154,7 @@
 	}()
 	r.say("callers make %d calls a second", r.cfg.Rate)
 	step := time.Duration(r.cfg.Seconds) * time.Second / 8
-	for i := 0; pause(ctx, step); i++ {
+	for i := 0; wait.Sleep(ctx, step); i++ {
 		switch i {
 		case 2:
 			r.drainBackend(ctx)
@@ -166,15 +167,6 @@
 	<-calls
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // publishChange changes a deadline and measures the time until every node acts
 // on it, counted from before the change was sent.
 func (r *run) publishChange(ctx context.Context, i int) {
@@ -221,7 +213,7 @@
 func (r *run) outage(ctx context.Context) {
 	r.say("the log goes down for %s", outageTime)
 	r.log.SetFaults(logstore.Faults{Outage: true})
-	pause(ctx, outageTime)
+	wait.Sleep(ctx, outageTime)
 	r.log.SetFaults(logstore.Faults{})
 	r.say("the log is back")
 }
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 )
 
 // HeaderToken carries a caller's own mark of a request.
@@ -387,17 +389,7 @@
 	if f.Slow > 0 {
 		d = time.Duration(float64(d) * f.Slow)
 	}
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Sleep(ctx, d)
 }
 
 func (s *Server) currentFaults() Faults {
--- a/internal/fake/logstore/logstore.go
+++ b/internal/fake/logstore/logstore.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 )
 
 // Faults are what is wrong with the log at the moment.
@@ -166,7 +167,7 @@
 		return &cicadaseam.UnavailableError{Op: op, Stream: name, Reason: "no answer"}
 	}
 	if f.Delay > 0 {
-		if err := sleep(ctx, f.Delay); err != nil {
+		if !wait.Sleep(ctx, f.Delay) {
 			return &cicadaseam.UnavailableError{Op: op, Stream: name, Reason: "no answer in time"}
 		}
 	}
@@ -279,14 +280,3 @@
 	st := s.stream(name)
 	return st.next - cicadaseam.Offset(len(st.records)), st.next, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -26,6 +26,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/member/gossip"
 	"github.com/cicadaseam/cicadaseam/internal/member/view"
 )
@@ -96,14 +97,14 @@
 
 // Run joins the fleet, then keeps the announcements of its zone fresh.
 func (a *Announcer) Run(ctx context.Context, timers *timer.Service) {
-	a.sleep(ctx, a.jitter(firstDelay))
+	wait.Sleep(ctx, a.jitter(firstDelay))
 	for attempt := 0; ctx.Err() == nil && !a.tryJoin(ctx); attempt++ {
-		a.sleep(ctx, a.backoff(attempt))
+		wait.Sleep(ctx, wait.Backoff(a.rng.Int64N, attempt, firstDelay, backoffCap))
 	}
-	a.sleep(ctx, a.jitter(announceDelay))
+	wait.Sleep(ctx, a.jitter(announceDelay))
 	a.refresh(ctx)
 	for attempt := 0; ctx.Err() == nil && len(a.gossip.View().Members) == 0; attempt++ {
-		a.sleep(ctx, a.backoff(attempt))
+		wait.Sleep(ctx, wait.Backoff(a.rng.Int64N, attempt, firstDelay, backoffCap))
 		a.refresh(ctx)
 	}
 	sub := timers.Subscribe(checkPeriod)
@@ -256,18 +257,3 @@
 func (a *Announcer) jitter(d time.Duration) time.Duration {
 	return time.Duration(a.rng.Int64N(int64(d)))
 }
-
-// backoff is capped exponential with full jitter.
-func (a *Announcer) backoff(attempt int) time.Duration {
-	limit := min(firstDelay<<min(attempt, 10), backoffCap)
-	return a.jitter(limit)
-}
-
-func (a *Announcer) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
