--- a/internal/call/entry/entry.go
+++ b/internal/call/entry/entry.go
@@ -171,6 +171,9 @@
 	w.Header().Set(HeaderVersion, strconv.FormatUint(uint64(table.Version), 10))
 	x, answer := e.prepare(r, table, id)
 	if answer != nil {
+		if answer.Reason == cicadaseam.ReasonDraining {
+			w.Header().Set("Connection", "close") // the caller finds another node
+		}
 		write(w, answer)
 		return
 	}
--- a/internal/call/ledger/client.go
+++ b/internal/call/ledger/client.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/member/view"
 )
@@ -34,6 +36,10 @@
 	fleet Fleet
 	pool  Requester
 	local *Writer
+
+	mu     sync.Mutex
+	view   *view.View
+	orders [Shards][]cicadaseam.Member
 }
 
 // NewClient returns a client of the fleet whose own writer is local.
@@ -45,15 +51,13 @@
 // the own one. Asking a second one is harmless: an operation may be in the
 // stream twice.
 func (c *Client) Submit(ctx context.Context, op Op) (Result, error) {
-	v := c.fleet.View()
-	order := view.Order(shardName(op.Key.Shard()), v.Live(""))
-	writers := append(order[:min(len(order), claimTries)], v.Self)
+	self := c.fleet.View().Self
 	var last error
-	for _, m := range writers {
+	for _, m := range c.writers(op.Key.Shard()) {
 		if ctx.Err() != nil {
 			break
 		}
-		result, err := c.submitTo(ctx, m.ID == v.Self.ID, m.Addr, op)
+		result, err := c.submitTo(ctx, m.ID == self.ID, m.Addr, op)
 		if err == nil {
 			return result, nil
 		}
@@ -66,6 +70,24 @@
 	return Result{}, &UnavailableError{Shard: op.Key.Shard(), Reason: fmt.Sprintf("no writer answers: %v", last)}
 }
 
+// writers returns whom to ask for a shard. The order is kept until the view
+// changes, since it costs a hash of each member.
+func (c *Client) writers(shard int) []cicadaseam.Member {
+	v := c.fleet.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view != v {
+		c.view = v
+		c.orders = [Shards][]cicadaseam.Member{}
+	}
+	if c.orders[shard] == nil {
+		order := view.Order(shardName(shard), v.Live(""))
+		first := order[:min(len(order), claimTries)]
+		c.orders[shard] = append(append([]cicadaseam.Member(nil), first...), v.Self)
+	}
+	return c.orders[shard]
+}
+
 func (c *Client) submitTo(ctx context.Context, local bool, addr string, op Op) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
--- a/internal/daemon/node/failure_test.go
+++ b/internal/daemon/node/failure_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/config/snapshot"
 	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
 )
@@ -312,3 +313,55 @@
 		require.True(t, f.eventually(90*time.Second, func() bool { return f.atVersion(last) }), "the peers' memory is the copy")
 	})
 }
+
+// A node that was paused writes its snapshot after newer ones.
+func TestSnapshotWrittenLate(t *testing.T) {
+	withFleet(t, 6, 11, func(f *fleet) {
+		old, err := snapshot.Encode(f.hosts[0].node.Store().State())
+		require.NoError(t, err)
+		var last cicadaseam.Offset
+		for i := range 3 {
+			last = f.publish(f.hosts[i], fmt.Sprintf("%dms", 2500+i)).Version
+			require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(last) }))
+		}
+		newest, err := snapshot.Encode(f.hosts[0].node.Store().State())
+		require.NoError(t, err)
+		ctx := context.Background()
+		for _, data := range [][]byte{newest, old, []byte("damaged"), old} {
+			_, err := f.log.Append(ctx, cicadaseam.StreamSnapshot, data)
+			require.NoError(t, err)
+		}
+		f.log.Trim(cicadaseam.StreamConfig, last+1) // only the newest snapshot holds the last version
+		for _, h := range f.hosts {
+			f.kill(h)
+		}
+		for i, h := range f.hosts {
+			f.start(h, uint64(700+i))
+		}
+		f.settle()
+		require.True(t, f.atVersion(last))
+		d := f.publish(f.hosts[0], "4s")
+		require.True(t, f.eventually(3*time.Second, func() bool { return f.atVersion(d.Version) }))
+	})
+}
+
+// A record in a format of the future stops every node where it is; calls go on.
+func TestUnknownFormatHaltsAndServes(t *testing.T) {
+	withFleet(t, 6, 12, func(f *fleet) {
+		_, before := f.hosts[0].node.Store().Tree()
+		_, err := f.log.Append(context.Background(), cicadaseam.StreamConfig, []byte{99, 1, 2, 3})
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		for _, h := range f.hosts {
+			require.Equal(t, before, h.node.Store().Table().Version)
+			require.Equal(t, 200, f.call(h, "GET", "/status/claim", "passenger").status)
+		}
+		halted := 0
+		for _, h := range f.hosts {
+			if h.node.Store().Halted() != nil {
+				halted++
+			}
+		}
+		require.Positive(t, halted, "the alarm is raised")
+	})
+}
