Links take 30 KB less each: small buffers and queues

Cause: at 16 and 64 idle nodes a node took 16.5 and 19.3 MB, a slope that leads to 57 MB at 720 before any call. Each end of a link held 66 KB of buffers and a queue of 64 KB. Now 8 KB and 4 KB; a handler whose peer reads slowly waits instead of closing the connection.

--- a/internal/link/frame/frame.go
+++ b/internal/link/frame/frame.go
@@ -40,6 +40,14 @@
 	MaxMessage = 80 << 20
 )
 
+// Buffers of a connection. A node has a connection to hundreds of peers, most of
+// them with little on it, so that buffers are small and one that had to grow is
+// not kept.
+const (
+	bufferBytes = 4 << 10
+	keepBytes   = 8 << 10
+)
+
 // Kind is the kind of a frame.
 type Kind uint8
 
@@ -143,15 +151,22 @@
 
 // NewWriter returns a Writer on w.
 func NewWriter(w io.Writer) *Writer {
-	fw := &Writer{w: bufio.NewWriterSize(w, MaxFrame)}
-	fw.enc = msgpack.NewEncoder(&fw.buf)
-	fw.enc.UseCompactInts(true)
-	return fw
+	return &Writer{w: bufio.NewWriterSize(w, bufferBytes), enc: newEncoder()}
+}
+
+func newEncoder() *msgpack.Encoder {
+	enc := msgpack.NewEncoder(nil)
+	enc.UseCompactInts(true)
+	return enc
 }
 
 // Write adds a frame to the batch.
 func (w *Writer) Write(f *Frame) error {
 	w.buf.Reset()
+	if w.buf.Cap() > keepBytes {
+		w.buf = bytes.Buffer{}
+	}
+	w.enc.ResetWriter(&w.buf)
 	if err := f.EncodeMsgpack(w.enc); err != nil {
 		return err
 	}
@@ -180,7 +195,7 @@
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
-	fr := &Reader{r: bufio.NewReaderSize(r, MaxFrame)}
+	fr := &Reader{r: bufio.NewReaderSize(r, bufferBytes)}
 	fr.dec = msgpack.NewDecoder(&fr.src)
 	return fr
 }
@@ -195,7 +210,7 @@
 	if size > MaxFrame {
 		return &SizeError{Size: size, Limit: MaxFrame}
 	}
-	if cap(r.buf) < size {
+	if cap(r.buf) < size || cap(r.buf) > keepBytes {
 		r.buf = make([]byte, size)
 	}
 	r.buf = r.buf[:size]
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -39,8 +39,8 @@
 	// pingAfterIdle is how long a connection may be unused before a request on
 	// it brings a ping along.
 	pingAfterIdle = 100 * time.Millisecond
-	// ringFrames bounds the frames queued on one connection.
-	ringFrames = 4096
+	// ringFrames bounds the messages queued on one connection.
+	ringFrames = 256
 	// maxServing bounds the requests that one connection may have running.
 	maxServing = 4096
 )
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -218,10 +218,12 @@
 		c.answerDirect(o)
 		return
 	}
-	if !c.out.Push(o) {
-		c.server.open.Add(-1)
-		c.close()
+	if c.out.Push(o) {
+		return
 	}
+	// The peer reads slowly: its handlers wait for it, each with its answer.
+	c.writing.Lock()
+	c.answerDirect(o)
 }
 
 // answerDirect writes an answer from its handler, which saves waking the
