--- /dev/null
+++ b/internal/bench/report/fit.go
@@ -0,0 +1,73 @@
+package report
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/gonum/stat"
+)
+
+// DesignSize is the number of nodes that the users ask to design for.
+const DesignSize = 720
+
+// Fit is a straight line through the values of a figure over the number of
+// nodes.
+type Fit struct {
+	Sizes     []int
+	Intercept float64
+	Slope     float64
+	// Error is the largest distance of a measured value from the line.
+	Error float64
+	// AtDesign is the value of the line at DesignSize.
+	AtDesign float64
+}
+
+// newFit fits a line; it needs three sizes or more.
+func newFit(values map[int]float64) (Fit, bool) {
+	const leastSizes = 3
+	if len(values) < leastSizes {
+		return Fit{}, false
+	}
+	var f Fit
+	for n := range values {
+		f.Sizes = append(f.Sizes, n)
+	}
+	sort.Ints(f.Sizes)
+	var xs, ys []float64
+	for _, n := range f.Sizes {
+		xs = append(xs, float64(n))
+		ys = append(ys, values[n])
+	}
+	f.Intercept, f.Slope = stat.LinearRegression(xs, ys, nil, false)
+	for i := range xs {
+		f.Error = math.Max(f.Error, math.Abs(ys[i]-f.Intercept-f.Slope*xs[i]))
+	}
+	f.AtDesign = f.Intercept + f.Slope*DesignSize
+	return f, true
+}
+
+// writeFits writes the line of each figure that was measured at three sizes.
+func (w *Writer) writeFits() error {
+	file, err := os.Create(w.path("fits.md"))
+	if err != nil {
+		return errors.Wrap(err, "write the fits")
+	}
+	defer file.Close()
+	fmt.Fprintf(file, "| figure | unit | spread | sizes | at N=0 | slope a node | largest error | line at N=%d |\n", DesignSize)
+	fmt.Fprintln(file, "| --- | --- | --- | --- | ---: | ---: | ---: | ---: |")
+	names, figures, units := w.byFigure()
+	for _, name := range names {
+		for _, spread := range sortedKeys(figures[name]) {
+			f, ok := newFit(figures[name][spread])
+			if !ok {
+				continue
+			}
+			fmt.Fprintf(file, "| %s | %s | %s | %v | %.4g | %.3g | %.3g | %.4g |\n",
+				name, units[name], spread, f.Sizes, f.Intercept, f.Slope, f.Error, f.AtDesign)
+		}
+	}
+	return nil
+}
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -1,5 +1,5 @@
-// Package report writes what an experiment found: JSON lines, a Markdown table
-// and PNG plots.
+// Package report writes what an experiment found: JSON lines, Markdown tables of
+// the values and of straight lines through them, and PNG plots.
 //
 // # Usage
 //
@@ -85,7 +85,7 @@
 	return errors.Wrap(json.NewEncoder(w.file).Encode(l), "write results")
 }
 
-// Close writes the table and the plots.
+// Close writes the tables and the plots.
 func (w *Writer) Close() error {
 	if err := w.file.Close(); err != nil {
 		return errors.Wrap(err, "close results")
@@ -93,6 +93,9 @@
 	if err := w.writeTable(); err != nil {
 		return err
 	}
+	if err := w.writeFits(); err != nil {
+		return err
+	}
 	return w.writePlots()
 }
 
--- a/internal/command/benchcli/benchcli.go
+++ b/internal/command/benchcli/benchcli.go
@@ -43,6 +43,7 @@
 	Rate        int           `arg:"--rate" default:"320" help:"calls a second in all"`
 	ServiceTime time.Duration `arg:"--service-time" default:"2ms" help:"how long a backend server takes"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the load"`
+	Summary     bool          `arg:"--summary" help:"measure nothing, only write the tables and plots of the lines in the folder"`
 	Timeout     time.Duration `arg:"--timeout" default:"10m" help:"longest time of the whole experiment"`
 }
 
@@ -147,6 +148,9 @@
 	if err != nil {
 		return err
 	}
+	if o.Summary {
+		return w.Close()
+	}
 	e := &experiment{options: o, plan: plan.New(o.Nodes), report: w, out: out, began: time.Now()}
 	readers, fanout := spreadOf(o.Spread)
 	e.fleet, err = procs.Start(ctx, procs.Config{
--- a/internal/command/cli/daemons.go
+++ b/internal/command/cli/daemons.go
@@ -52,12 +52,12 @@
 	Settings string `arg:"positional,required" help:"INI file with the node's settings"`
 }
 
-// A node uses little memory and its collector little time: with the heap of a
-// node, four times the usual headroom stays far below the memory that a node
-// may use, and the collector runs a quarter as often.
+// A node uses little memory: with four times the usual headroom the collector
+// runs a quarter as often. The limit makes it run more often again in a node that
+// holds much, such as answers of many calls.
 const (
 	collectPercent = 400
-	memoryLimit    = 56 << 20 // bytes
+	memoryLimit    = 128 << 20 // bytes
 )
 
 func (c *nodeCommand) run(ctx context.Context, s streams) error {
--- a/internal/link/frame/frame.go
+++ b/internal/link/frame/frame.go
@@ -142,48 +142,58 @@
 // Error implements error.
 func (e *DecodeError) Error() string { return "frame does not decode: " + e.Reason }
 
-// Writer writes frames to a stream. Flush ends a batch.
+// Writer writes frames to a stream. Frames gather in a buffer until Flush, or
+// until the buffer is full.
 type Writer struct {
-	w   *bufio.Writer
+	w   io.Writer
 	buf bytes.Buffer
 	enc *msgpack.Encoder
 }
 
 // NewWriter returns a Writer on w.
 func NewWriter(w io.Writer) *Writer {
-	return &Writer{w: bufio.NewWriterSize(w, bufferBytes), enc: newEncoder()}
+	fw := &Writer{w: w}
+	fw.enc = msgpack.NewEncoder(&fw.buf)
+	fw.enc.UseCompactInts(true)
+	return fw
 }
 
-func newEncoder() *msgpack.Encoder {
-	enc := msgpack.NewEncoder(nil)
-	enc.UseCompactInts(true)
-	return enc
-}
+// headBytes is the length of a frame's length.
+const headBytes = 4
 
 // Write adds a frame to the batch.
 func (w *Writer) Write(f *Frame) error {
-	w.buf.Reset()
-	if w.buf.Cap() > keepBytes {
-		w.buf = bytes.Buffer{}
-	}
-	w.enc.ResetWriter(&w.buf)
+	start := w.buf.Len()
+	var head [headBytes]byte
+	w.buf.Write(head[:])
 	if err := f.EncodeMsgpack(w.enc); err != nil {
+		w.buf.Truncate(start)
 		return err
 	}
-	if w.buf.Len() > MaxFrame {
-		return &SizeError{Size: w.buf.Len(), Limit: MaxFrame}
+	size := w.buf.Len() - start - headBytes
+	if size > MaxFrame {
+		w.buf.Truncate(start)
+		return &SizeError{Size: size, Limit: MaxFrame}
 	}
-	var head [4]byte
-	binary.BigEndian.PutUint32(head[:], uint32(w.buf.Len()))
-	if _, err := w.w.Write(head[:]); err != nil {
-		return err
+	binary.BigEndian.PutUint32(w.buf.Bytes()[start:], uint32(size))
+	if w.buf.Len() < MaxFrame {
+		return nil
 	}
-	_, err := w.w.Write(w.buf.Bytes())
-	return err
+	return w.Flush()
 }
 
 // Flush sends the batch.
-func (w *Writer) Flush() error { return w.w.Flush() }
+func (w *Writer) Flush() error {
+	if w.buf.Len() == 0 {
+		return nil
+	}
+	_, err := w.w.Write(w.buf.Bytes())
+	w.buf.Reset()
+	if w.buf.Cap() > keepBytes {
+		w.buf = bytes.Buffer{}
+	}
+	return err
+}
 
 // Reader reads frames from a stream.
 type Reader struct {
--- /dev/null
+++ b/internal/member/view/bench_test.go
@@ -0,0 +1,30 @@
+package view
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// BenchmarkChange is what one change of membership costs a node: a new view and
+// its own rank in its zone.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{90, 180, 360, 720} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var members []Seen
+			for i := range n {
+				members = append(members, Seen{Member: cicadaseam.Member{
+					ID: fmt.Sprintf("%016x", i), Addr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+					Place:   cicadaseam.Place{Zone: fmt.Sprintf("zone-%d", i%10)},
+					Backend: cicadaseam.Backend{Service: fmt.Sprintf("service-%d", i%19), Slots: 20, State: cicadaseam.BackendReady},
+				}})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				v := New(members[0].Member, members[1:])
+				Rank("reader zone-0", v.Live("zone-0"), v.Self.ID)
+			}
+		})
+	}
+}
