The log's load in a herd and in an outage stays near that of its readers

Cause: every node looked twice for announcements (7 requests a node when all return), and every node lost patience within 15 s of an outage (14 requests a second at 16 nodes, 34 at 64).

--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -43,11 +43,12 @@
 	DefaultTakeover = 10 * time.Second
 	fetchGrace      = 150 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
-	backoffFirst    = 200 * time.Millisecond
-	// readerCap and othersCap bound the wait between polls after failures. The
-	// readers are few, so that they may ask often.
-	readerCap = 2 * time.Second
-	othersCap = 30 * time.Second
+	// The wait between polls after failures begins at the first and is bounded
+	// by the cap. The readers are few, so that they may ask often.
+	readerFirst = 200 * time.Millisecond
+	readerCap   = 2 * time.Second
+	othersFirst = 5 * time.Second
+	othersCap   = 30 * time.Second
 	// againWithin spreads the polls of those that learn that the log answers
 	// again.
 	againWithin = 200 * time.Millisecond
@@ -98,10 +99,11 @@
 	failures    int
 	failedAt    time.Time
 	tailUntil   time.Time
-	ageLimit    time.Duration
+	patience    float64 // 0 to 1
 
 	rankView *view.View
 	isReader bool
+	zoneSize int
 }
 
 // Option changes a new Spread.
@@ -120,15 +122,24 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.drawAgeLimit()
+	s.drawPatience()
 	return s
 }
 
-// drawAgeLimit spreads the moment at which nodes lose patience over twice the
-// bound, so that they do not all turn to the log at once: the first ones that
-// do refresh the others through gossip.
-func (s *Spread) drawAgeLimit() {
-	s.ageLimit = s.maxAge + time.Duration(s.rng.Int64N(int64(2*s.maxAge)))
+// drawPatience spreads the moment at which nodes lose patience, so that they do
+// not all turn to the log at once: the first one that gets an answer refreshes
+// the others through gossip.
+func (s *Spread) drawPatience() {
+	s.patience = s.rng.Float64()
+}
+
+// ageLimit is how old knowledge of the log may grow before this node asks. The
+// larger the zone, the wider the limits of its nodes lie apart, so that the
+// first ones ask about as early and as many ask at a time, whatever its size.
+func (s *Spread) ageLimit() time.Duration {
+	const leastSpread = 2
+	spread := max(float64(s.zoneSize)/float64(s.readers), leastSpread)
+	return s.maxAge + time.Duration(s.patience*spread*float64(s.maxAge))
 }
 
 // Tick returns what to do now.
@@ -174,7 +185,9 @@
 	if v != s.rankView {
 		s.rankView = v
 		zone := v.Self.Place.Zone
-		rank := view.Rank("reader "+zone, v.Live(zone), v.Self.ID)
+		live := v.Live(zone)
+		s.zoneSize = len(live)
+		rank := view.Rank("reader "+zone, live, v.Self.ID)
 		s.isReader = rank >= 0 && rank < s.readers
 	}
 	return s.isReader
@@ -185,11 +198,11 @@
 	if now.Before(s.tailUntil) {
 		return true
 	}
-	if now.Sub(s.confirmedAt) <= s.ageLimit {
+	if now.Sub(s.confirmedAt) <= s.ageLimit() {
 		return false
 	}
 	s.tailUntil = now.Add(s.takeover)
-	s.drawAgeLimit()
+	s.drawPatience()
 	return true
 }
 
@@ -230,11 +243,11 @@
 		s.pollAt = now
 		return
 	}
-	limit := othersCap
+	first, limit := othersFirst, othersCap
 	if s.isReader {
-		limit = readerCap
+		first, limit = readerFirst, readerCap
 	}
-	s.pollAt = now.Add(wait.Backoff(s.rng.Int64N, s.failures, backoffFirst, limit))
+	s.pollAt = now.Add(wait.Backoff(s.rng.Int64N, s.failures, first, limit))
 	s.failures++
 	s.failedAt = now
 }
--- a/internal/daemon/node/bounds_test.go
+++ b/internal/daemon/node/bounds_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
 )
 
 // Targets of the letter.
@@ -21,7 +23,7 @@
 // The load on the log does not grow with the fleet, a change is in force in
 // time, and control stays within its bytes.
 func TestLoadOnTheLogIsFlat(t *testing.T) {
-	reads := map[int]float64{}
+	reads, rejected := map[int]float64{}, map[int]float64{}
 	for _, n := range []int{12, 24, 48} {
 		t.Run(fmt.Sprintf("%d nodes", n), func(t *testing.T) {
 			withFleet(t, n, 50, func(f *fleet) {
@@ -39,11 +41,19 @@
 				d := f.publish(f.hosts[n/2], "4s")
 				require.True(t, f.eventually(convergeTarget, func() bool { return f.atVersion(d.Version) }))
 				t.Logf("a change is in force after %s of virtual time", time.Since(began))
+
+				f.log.SetFaults(logstore.Faults{Outage: true})
+				time.Sleep(length)
+				rejected[n] = float64(f.log.Stats().Rejected) / length.Seconds()
+				t.Logf("during an outage: %.2f requests a second", rejected[n])
+				f.log.SetFaults(logstore.Faults{})
 			})
 		})
 	}
 	for n, r := range reads {
 		require.InEpsilon(t, reads[12], r, flatTarget, "%d nodes", n)
+		// Nodes that lose patience come on top of the readers' requests.
+		require.LessOrEqual(t, rejected[n], 2*reads[12], "%d nodes during an outage", n)
 	}
 }
 
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -3,11 +3,11 @@
 // # Model
 //
 // A stream of the log holds the addresses of a few live nodes of each zone. A
-// node that starts reads the newest announcements and joins through them. It
-// announces itself only when fewer than wanted live ones of its zone are to be
-// found, after a random delay and another look, so that a herd costs few
-// appends. After that, only the first few nodes of a zone in rendezvous order
-// keep the announcements fresh.
+// node that starts reads the newest announcements and joins through them. After
+// a random delay the first few nodes of each zone in rendezvous order look
+// again, join those that they do not know, and announce themselves when fewer
+// than wanted live announcements of their zone are to be found. They go on doing
+// so, and all others leave the log alone, so that a herd costs it little.
 //
 // # Usage
 //
@@ -102,7 +102,9 @@
 		wait.Sleep(ctx, wait.Backoff(a.rng.Int64N, attempt, firstDelay, backoffCap))
 	}
 	wait.Sleep(ctx, a.jitter(announceDelay))
-	a.refresh(ctx)
+	if a.onDuty() {
+		a.refresh(ctx)
+	}
 	for attempt := 0; ctx.Err() == nil && len(a.gossip.View().Members) == 0; attempt++ {
 		wait.Sleep(ctx, wait.Backoff(a.rng.Int64N, attempt, firstDelay, backoffCap))
 		a.refresh(ctx)
