--- a/internal/command/cli/operate.go
+++ b/internal/command/cli/operate.go
@@ -102,7 +102,7 @@
 
 // waitForVersion shows how many nodes are at a version until all are.
 func waitForVersion(ctx context.Context, client *api.Client, out io.Writer, version cicadaseam.Offset) error {
-	const look = 200 * time.Millisecond
+	const look = 500 * time.Millisecond
 	shown := ""
 	for {
 		f, err := client.Fleet(ctx)
