--- a/internal/command/benchcli/benchcli.go
+++ b/internal/command/benchcli/benchcli.go
@@ -39,6 +39,7 @@
 	Spread      string        `arg:"--spread" default:"tree" help:"tree, or a baseline: poll or gossip"`
 	Phases      string        `arg:"--phases" default:"idle,changes,calls,faults,herd" help:"comma-separated phases after bring-up: idle, changes, churn, calls, faults, herd"`
 	Seconds     int           `arg:"--seconds" default:"10" help:"length of the idle, churn and calls phases"`
+	Settle      time.Duration `arg:"--settle" default:"3s" help:"wait before the idle phase; the news of a bring-up takes a minute to die down in a large fleet"`
 	Changes     int           `arg:"--changes" default:"20" help:"number of changes"`
 	Rate        int           `arg:"--rate" default:"320" help:"calls a second in all"`
 	ServiceTime time.Duration `arg:"--service-time" default:"2ms" help:"how long a backend server takes"`
--- a/internal/command/benchcli/phases.go
+++ b/internal/command/benchcli/phases.go
@@ -31,7 +31,6 @@
 const (
 	readyLimit    = 2 * time.Minute
 	convergeLimit = 20 * time.Second
-	settleTime    = 3 * time.Second
 	look          = 20 * time.Millisecond
 )
 
@@ -102,7 +101,7 @@
 }
 
 func (e *experiment) idle(ctx context.Context) error {
-	if !wait.Sleep(ctx, settleTime) {
+	if !wait.Sleep(ctx, e.Settle) {
 		return ctx.Err()
 	}
 	before, after, err := e.measure(ctx, func() error {
--- a/internal/member/detect/failure_test.go
+++ b/internal/member/detect/failure_test.go
@@ -168,3 +168,25 @@
 		}
 	}
 }
+
+// A fleet that starts at once: each node joins through the first one, which
+// hands it those that came before. All others come to it by news.
+func TestBringUpOfAll(t *testing.T) {
+	const size = 200
+	c := newCluster(t, 1, 7)
+	for i := 1; i < size; i++ {
+		self := c.add(i, 7)
+		first, joiner := c.nodes[0], c.nodes[i]
+		joiner.d.Merge(c.now, append(first.d.Members(), first.d.Self()))
+		first.d.Merge(c.now, []cicadaseam.Member{self})
+	}
+	before, began := c.bytes(), c.now
+	for c.alivePairs() < size*(size-1) && c.now.Sub(began) < 2*time.Minute {
+		c.run(time.Second)
+	}
+	took := c.now.Sub(began)
+	t.Logf("%d nodes know each other after %s of virtual time", size, took)
+	require.Equal(t, size*(size-1), c.alivePairs())
+	c.run(time.Minute - took)
+	c.requireBytes(before, time.Minute)
+}
--- a/internal/member/detect/news.go
+++ b/internal/member/detect/news.go
@@ -17,6 +17,11 @@
 	count   int
 }
 
+const (
+	muchNews       = 40 // pieces of news that wait
+	fewRetransmits = 4
+)
+
 func (n *news) push(transmits int, id string) {
 	for len(n.buckets) <= transmits {
 		n.buckets = append(n.buckets, nil)
@@ -55,9 +60,20 @@
 	return d.members[id]
 }
 
+// retransmits is how often each piece of news is sent. With much news waiting,
+// as when a fleet starts at once, most of it is known to the receivers by other
+// ways: sending each piece less often lets all of it through sooner, and the
+// digests of zones find what is left out.
+func (d *Detector) retransmits() int {
+	if d.news.count > muchNews {
+		return fewRetransmits
+	}
+	return retransmitFactor * int(math.Ceil(math.Log10(float64(len(d.members)+2))+1))
+}
+
 // takeUpdates returns the least spread updates that fit in a packet.
 func (d *Detector) takeUpdates() []cicadaseam.Member {
-	limit := retransmitFactor * int(math.Ceil(math.Log10(float64(len(d.members)+2))+1))
+	limit := d.retransmits()
 	room := MaxPacket - updateReserve
 	var out []cicadaseam.Member
 	var again []*entry
