--- a/internal/daemon/node/depth_test.go
+++ b/internal/daemon/node/depth_test.go
@@ -85,6 +85,7 @@
 		require.Empty(t, report.Missing)
 		var table strings.Builder
 		require.NoError(t, report.WriteTable(&table))
+		t.Log("\n" + table.String())
 		for _, row := range report.Rows {
 			if row.Key.Service != "status-portal" {
 				continue
