No timers of zero length

Cause: go test -race ended in the race detector's own runtime in four runs of internal/daemon/node. One of them left a stack: a select on a timer that is already due, in a synctest bubble, with the race detector. The ledger's duty and the wait for an attempt now check for nothing to wait for first.

--- a/internal/call/ledger/writer.go
+++ b/internal/call/ledger/writer.go
@@ -190,7 +190,11 @@
 // that came meanwhile.
 func (d *duty) collect(ctx context.Context, first request, queue <-chan request) []request {
 	batch := []request{first}
-	wait := time.NewTimer(max(d.w.interval-time.Since(d.last), 0))
+	left := d.w.interval - time.Since(d.last)
+	if left <= 0 {
+		return d.drainQueue(batch, queue)
+	}
+	wait := time.NewTimer(left)
 	defer wait.Stop()
 	for len(batch) < maxOps {
 		select {
--- a/internal/call/target/once.go
+++ b/internal/call/target/once.go
@@ -162,6 +162,14 @@
 }
 
 func waitFor(ctx context.Context, done <-chan struct{}, wait time.Duration) bool {
+	select {
+	case <-done:
+		return true
+	default:
+	}
+	if wait <= 0 {
+		return false
+	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
