Appends of filings stay within their share of 200 a second

Cause: eight shards at 40 ms are 200 appends a second, and other appends came on top (202 at 1,000 filings a second; the test's bound had a slack of 10). At 42 ms: 10.4, 92 and 192 at 10, 100 and 1,000; the bound is the budget itself.

--- a/internal/call/ledger/doc.go
+++ b/internal/call/ledger/doc.go
@@ -35,7 +35,7 @@
 //
 // # Usage
 //
-//	w := ledger.NewWriter(log, timers, ledger.WithInterval(40*time.Millisecond))
+//	w := ledger.NewWriter(log, timers, ledger.WithInterval(42*time.Millisecond))
 //	go w.Run(ctx)
 //	result, err := w.Claim(ctx, claim)
 package ledger
--- a/internal/call/ledger/writer.go
+++ b/internal/call/ledger/writer.go
@@ -17,7 +17,7 @@
 const (
 	// DefaultInterval is the time between two appends of one shard. Eight
 	// shards at this interval stay within 200 appends a second.
-	DefaultInterval = 40 * time.Millisecond
+	DefaultInterval = 42 * time.Millisecond
 	// DefaultWindow is how long a key lives. It is to be well below the
 	// retention of the log.
 	DefaultWindow = 12 * time.Hour
--- a/internal/daemon/node/once_test.go
+++ b/internal/daemon/node/once_test.go
@@ -288,7 +288,7 @@
 				appends := f.log.Stats().Appends - before
 				perSecond := float64(appends) / seconds
 				t.Logf("%d filings a second: %.1f appends a second, %.2f a filing, %d ran", rate, perSecond, float64(appends)/float64(ran), ran)
-				require.LessOrEqual(t, perSecond, budget+10)
+				require.LessOrEqual(t, perSecond, budget)
 				require.GreaterOrEqual(t, ran, rate*seconds*95/100)
 			})
 		})
