--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -257,12 +257,12 @@
 func (t *Target) runOnce(ctx context.Context, call *cicadaseam.Call, p tree.Policy, ticket uint64) *cicadaseam.Answer {
 	if call.Key != "" {
 		if answer := t.claim(ctx, call); answer != nil {
-			t.release(ticket)
+			t.release()
 			return answer
 		}
 	}
 	if ctx.Err() != nil || !t.attempts.start(call.Attempt) {
-		t.release(ticket)
+		t.release()
 		t.attempts.void(time.Now(), call.Attempt)
 		t.voidClaim(call)
 		return notRun(cicadaseam.ReasonDeadline, retryBusy)
@@ -353,7 +353,8 @@
 	}
 }
 
-func (t *Target) release(uint64) {
+// release gives the slot of a call back that did not start.
+func (t *Target) release() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.deliver(t.gate.Release(time.Now()))
