--- a/internal/bench/report/fit.go
+++ b/internal/bench/report/fit.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"os"
-	"sort"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/gonum/stat"
@@ -31,11 +32,7 @@
 	if len(values) < leastSizes {
 		return Fit{}, false
 	}
-	var f Fit
-	for n := range values {
-		f.Sizes = append(f.Sizes, n)
-	}
-	sort.Ints(f.Sizes)
+	f := Fit{Sizes: slices.Sorted(maps.Keys(values))}
 	var xs, ys []float64
 	for _, n := range f.Sizes {
 		xs = append(xs, float64(n))
@@ -60,7 +57,7 @@
 	fmt.Fprintln(file, "| --- | --- | --- | --- | ---: | ---: | ---: | ---: |")
 	names, figures, units := w.byFigure()
 	for _, name := range names {
-		for _, spread := range sortedKeys(figures[name]) {
+		for _, spread := range slices.Sorted(maps.Keys(figures[name])) {
 			f, ok := newFit(figures[name][spread])
 			if !ok {
 				continue
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -11,8 +11,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
@@ -138,7 +140,7 @@
 	fmt.Fprintln(file)
 	names, figures, units := w.byFigure()
 	for _, name := range names {
-		for _, spread := range sortedKeys(figures[name]) {
+		for _, spread := range slices.Sorted(maps.Keys(figures[name])) {
 			fmt.Fprintf(file, "| %s | %s | %s |", name, units[name], spread)
 			for _, n := range sizes {
 				if v, known := figures[name][spread][n]; known {
@@ -166,15 +168,6 @@
 	return out
 }
 
-func sortedKeys(s series) []string {
-	var out []string
-	for k := range s {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // writePlots draws each figure over the number of nodes.
 func (w *Writer) writePlots() error {
 	names, figures, units := w.byFigure()
@@ -185,7 +178,7 @@
 		p.Y.Label.Text = units[name]
 		p.Y.Min = 0
 		var args []any
-		for _, spread := range sortedKeys(figures[name]) {
+		for _, spread := range slices.Sorted(maps.Keys(figures[name])) {
 			args = append(args, spread, points(figures[name][spread]))
 		}
 		if err := plotutil.AddLinePoints(p, args...); err != nil {
@@ -199,13 +192,8 @@
 }
 
 func points(values map[int]float64) plotter.XYs {
-	var sizes []int
-	for n := range values {
-		sizes = append(sizes, n)
-	}
-	sort.Ints(sizes)
 	var xys plotter.XYs
-	for _, n := range sizes {
+	for _, n := range slices.Sorted(maps.Keys(values)) {
 		xys = append(xys, plotter.XY{X: float64(n), Y: values[n]})
 	}
 	return xys
--- a/internal/call/balance/balance.go
+++ b/internal/call/balance/balance.go
@@ -283,12 +283,6 @@
 	s.consecutive = 0
 }
 
-// Ejected reports whether a candidate is ejected.
-func (b *Balancer) Ejected(now time.Time, id string) bool {
-	s := b.states[id]
-	return s != nil && now.Before(s.ejectedTo)
-}
-
 // Level returns the lowest priority that any of the candidates takes, as far
 // as their answers tell: 0 when one of them has not told lately.
 func (b *Balancer) Level(now time.Time, candidates []cicadaseam.Candidate) int {
--- a/internal/call/entry/entry.go
+++ b/internal/call/entry/entry.go
@@ -90,7 +90,6 @@
 	Calls    atomic.Int64
 	Attempts atomic.Int64
 	Retries  atomic.Int64
-	Resolves atomic.Int64
 	Shed     atomic.Int64
 }
 
--- a/internal/call/entry/remote.go
+++ b/internal/call/entry/remote.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,16 +35,12 @@
 
 // Remote sends calls to other nodes.
 type Remote struct {
-	pool     *mux.Pool
-	resolves atomic.Int64
+	pool *mux.Pool
 }
 
 // NewRemote returns a Remote over a pool of links.
 func NewRemote(pool *mux.Pool) *Remote { return &Remote{pool: pool} }
 
-// Resolves returns how often the fate of an attempt was asked for.
-func (r *Remote) Resolves() int64 { return r.resolves.Load() }
-
 // Call sends a call and returns its answer, or what is known without one.
 func (r *Remote) Call(ctx context.Context, m cicadaseam.Member, call *cicadaseam.Call) *cicadaseam.Answer {
 	payload, err := method.Encode(&callMessage{To: m.ID, Call: *call})
@@ -106,7 +101,6 @@
 }
 
 func (r *Remote) ask(ctx context.Context, addr string, message resolveMessage) target.Resolution {
-	r.resolves.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	payload, err := method.Encode(&message)
--- a/internal/config/feed/push.go
+++ b/internal/config/feed/push.go
@@ -44,7 +44,7 @@
 	}
 	// A push outlives the read that brought the records.
 	ctx = context.WithoutCancel(ctx)
-	for _, child := range spread.Children(f.fleet.View(), root, f.fanout) {
+	for _, child := range f.children(root, f.fleet.View().Self.ID) {
 		f.wg.Add(1)
 		go func() {
 			defer f.wg.Done()
@@ -53,6 +53,10 @@
 	}
 }
 
+func (f *Feed) children(root, id string) []cicadaseam.Member {
+	return spread.Children(f.fleet.View(), root, id, f.fanout)
+}
+
 // pushHeads hands records to the first reader of each other zone, which is the
 // root of the tree of its zone.
 func (f *Feed) pushHeads(ctx context.Context, records []cicadaseam.Record) {
@@ -82,7 +86,7 @@
 	if f.pushOnce(ctx, child.Addr, payload) == nil {
 		return
 	}
-	for _, orphan := range spread.Orphans(f.fleet.View(), root, child.ID, f.fanout) {
+	for _, orphan := range f.children(root, child.ID) {
 		if err := f.pushOnce(ctx, orphan.Addr, payload); err != nil {
 			continue // the digests on gossip repair the rest
 		}
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -300,19 +300,10 @@
 	return out
 }
 
-// Children returns whom to push to in the tree of a root over one zone. Every
-// node with the same view computes the same tree.
-func Children(v *view.View, root string, fanout int) []cicadaseam.Member {
-	return childrenOf(v, root, v.Self.ID, fanout)
-}
-
-// Orphans returns the children of a member that could not be reached, so that
-// its branch is not lost.
-func Orphans(v *view.View, root, lost string, fanout int) []cicadaseam.Member {
-	return childrenOf(v, root, lost, fanout)
-}
-
-func childrenOf(v *view.View, root, id string, fanout int) []cicadaseam.Member {
+// Children returns whom a member pushes to in the tree of a root over one zone.
+// Every node with the same view computes the same tree, so that the children of
+// a member that cannot be reached are known too.
+func Children(v *view.View, root, id string, fanout int) []cicadaseam.Member {
 	order := treeOrder(v, root)
 	at := -1
 	for i, m := range order {
--- a/internal/config/tree/schema.go
+++ b/internal/config/tree/schema.go
@@ -81,16 +81,6 @@
 	},
 }
 
-// Policies returns the policy keys with their unit and default, for documents
-// and for the command line.
-func Policies() map[string][2]string {
-	out := map[string][2]string{}
-	for key, spec := range policySpecs {
-		out[key] = [2]string{spec.unit, spec.fallback}
-	}
-	return out
-}
-
 func specsOf(kind string) (map[string]keySpec, bool) {
 	if kind == KindScope {
 		return policySpecs, true
--- a/internal/config/tree/tree.go
+++ b/internal/config/tree/tree.go
@@ -31,6 +31,8 @@
 package tree
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -136,7 +138,7 @@
 	h := xxhash.New()
 	for _, path := range t.Paths("") {
 		writeField(h, path)
-		for _, key := range sortedKeys(t.objects[path]) {
+		for _, key := range slices.Sorted(maps.Keys(t.objects[path])) {
 			writeField(h, key)
 			writeField(h, t.objects[path][key])
 		}
@@ -157,15 +159,6 @@
 	return out
 }
 
-func sortedKeys(obj Object) []string {
-	keys := make([]string, 0, len(obj))
-	for k := range obj {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // splitPath returns the kind and the name of a path.
 func splitPath(path string) (kind, name string) {
 	kind, name, _ = strings.Cut(path, ":")
--- a/internal/config/tree/validate.go
+++ b/internal/config/tree/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -27,7 +29,7 @@
 	}
 	faults := t.validateName(path, kind, objName)
 	obj := t.objects[path]
-	for _, key := range sortedKeys(obj) {
+	for _, key := range slices.Sorted(maps.Keys(obj)) {
 		spec, known := specs[key]
 		if !known {
 			faults = append(faults, cicadaseam.Fault{Path: path, Key: key, Problem: "unknown key"})
--- a/internal/daemon/demo/demo.go
+++ b/internal/daemon/demo/demo.go
@@ -10,7 +10,8 @@
 	"context"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -222,8 +223,8 @@
 	fmt.Fprintln(r.out)
 	tw := tabwriter.NewWriter(r.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "CLASS\tOUTCOME\tCALLS")
-	for _, class := range sortedKeys(r.tally.outcomes) {
-		for _, outcome := range sortedCounts(r.tally.outcomes[class]) {
+	for _, class := range slices.Sorted(maps.Keys(r.tally.outcomes)) {
+		for _, outcome := range slices.Sorted(maps.Keys(r.tally.outcomes[class])) {
 			fmt.Fprintf(tw, "%s\t%s\t%d\n", class, outcome, r.tally.outcomes[class][outcome])
 		}
 	}
@@ -252,21 +253,3 @@
 func at(ns int64) string {
 	return time.Duration(ns).Round(time.Microsecond).String()
 }
-
-func sortedKeys(m map[string]map[string]int) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
-func sortedCounts(m map[string]int) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -311,19 +311,6 @@
 	return err
 }
 
-// RunUntilKilled works until the context ends and stops at once, as a process
-// that dies. It is for tests.
-func (n *Node) RunUntilKilled(ctx context.Context) {
-	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	n.start(duties)
-	<-ctx.Done()
-	for _, s := range n.servers {
-		_ = s.Close() // a dead process closes nothing politely
-	}
-	n.shutdown(stop)
-}
-
 func (n *Node) shutdown(stop context.CancelFunc) {
 	n.closeListeners()
 	stop()
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -37,7 +37,6 @@
 
 	byID       map[string]cicadaseam.Member
 	candidates map[string][]cicadaseam.Candidate
-	addrs      map[string]string
 }
 
 // New returns the view of a fleet. Members do not include self.
@@ -47,7 +46,6 @@
 		Members:    members,
 		byID:       map[string]cicadaseam.Member{self.ID: self},
 		candidates: map[string][]cicadaseam.Candidate{},
-		addrs:      map[string]string{},
 	}
 	v.add(Seen{Member: self})
 	for _, s := range members {
@@ -59,7 +57,6 @@
 
 func (v *View) add(s Seen) {
 	m := s.Member
-	v.addrs[m.ID] = m.Addr
 	if m.State > cicadaseam.MemberSuspect || m.Backend.State != cicadaseam.BackendReady {
 		return
 	}
