A target runs no call that it holds no settings for

The target looked up the policy of a call in its own table. A node that had just started told its peers of its backend server before it held a version; its empty table gave a policy of zeros, so each answer was over a limit of 0 bytes, queues had no room, and a quarantine no length. Ruled out: the size of the answers (200 bytes), the stand-in's load. Before: TestNodeWithoutAVersionRunsNoCallsOfItsPeers fails with 502 at once; TestTargetRefusesWhatItHoldsNoSettingsFor gets as far as the backend server. A node tells of its backend server once it is ready; a target that is not ready, or whose table lacks the service, answers notrun not-ready, and the entry goes to another target without spending the retry budget. Conclusion: a policy is used only for a service that the table holds.

--- a/internal/call/entry/entry.go
+++ b/internal/call/entry/entry.go
@@ -18,6 +18,8 @@
 //   - A call that is given up is answered at once, with a time to come back.
 //   - A non-idempotent call is sent again only when the last attempt did not
 //     run.
+//   - A target runs no call before its node is ready, nor one of a service that
+//     its own table does not hold.
 //
 // # Usage
 //
--- a/internal/call/entry/remote.go
+++ b/internal/call/entry/remote.go
@@ -119,6 +119,9 @@
 }
 
 // Serve answers the call and resolve requests of peers at the node with an id.
+// The entry node may be at a newer version than this one. A call of a service
+// that the table here does not hold has no limits to run under, and does not
+// run.
 func (e *Entry) Serve(ctx context.Context, m uint8, payload []byte) ([]byte, error) {
 	if m == method.Resolve {
 		return e.serveResolve(ctx, payload)
@@ -131,10 +134,13 @@
 	if message.To != e.fleet.View().Self.ID {
 		return method.Encode(&cicadaseam.Answer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonDraining})
 	}
+	table := e.config.Table()
+	if !e.ready() || !table.Services[call.Service] {
+		return method.Encode(&cicadaseam.Answer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonNotReady, RetryAfter: retryTarget})
+	}
 	ctx, cancel := context.WithTimeout(ctx, call.Budget)
 	defer cancel()
-	policy := e.config.Table().Policy(call.Service, call.Class)
-	return method.Encode(e.local.Handle(ctx, call, policy))
+	return method.Encode(e.local.Handle(ctx, call, table.Policy(call.Service, call.Class)))
 }
 
 func (e *Entry) serveResolve(ctx context.Context, payload []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/call/entry/remote_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/call/target"
+	"github.com/cicadaseam/cicadaseam/internal/config/tree"
+	"github.com/cicadaseam/cicadaseam/internal/link/method"
+	"github.com/cicadaseam/cicadaseam/internal/member/view"
+)
+
+type fixedTable struct{ table *tree.Table }
+
+func (f fixedTable) Table() *tree.Table { return f.table }
+
+type onlySelf struct{ id string }
+
+func (o onlySelf) View() *view.View {
+	return &view.View{Self: cicadaseam.Member{ID: o.id}}
+}
+
+// The entry node of a call may have a version that its target does not have.
+func TestTargetRefusesWhatItHoldsNoSettingsFor(t *testing.T) {
+	cases := []struct {
+		name   string
+		table  *tree.Table
+		ready  bool
+		reason cicadaseam.Reason
+	}{
+		{"no version yet", &tree.Table{}, true, cicadaseam.ReasonNotReady},
+		{"another service", &tree.Table{Services: map[string]bool{"desk": true}}, true, cicadaseam.ReasonNotReady},
+		{"behind its peers", &tree.Table{Services: map[string]bool{"portal": true}}, false, cicadaseam.ReasonNotReady},
+		{"holds it, has no backend server", &tree.Table{Services: map[string]bool{"portal": true}}, true, cicadaseam.ReasonDraining},
+	}
+	for _, tc := range cases {
+		local := target.New("self", "10.0.0.1:7000", nil, nil)
+		e := New(fixedTable{tc.table}, onlySelf{"self"}, nil, local, rand.New(rand.NewPCG(1, 1)), WithReady(func() bool { return tc.ready }))
+		call := cicadaseam.Call{Service: "portal", Class: "gold", Method: "GET", Target: "/", Budget: time.Second, Idempotent: true}
+		payload, err := method.Encode(&callMessage{To: "self", Call: call})
+		require.NoError(t, err, tc.name)
+		data, err := e.Serve(context.Background(), method.Call, payload)
+		require.NoError(t, err, tc.name)
+		var answer cicadaseam.Answer
+		require.NoError(t, method.Decode(data, &answer), tc.name)
+		require.Equal(t, cicadaseam.OutcomeNotRun, answer.Outcome, tc.name)
+		require.Equal(t, tc.reason, answer.Reason, tc.name)
+	}
+}
--- a/internal/call/retry/retry.go
+++ b/internal/call/retry/retry.go
@@ -115,9 +115,12 @@
 }
 
 // free reports whether the attempt was a detour that cost nobody work: the
-// target was leaving.
+// target was leaving, or not yet there.
 func free(a Attempt) bool {
-	return a.Outcome == cicadaseam.OutcomeNotRun && a.Reason == cicadaseam.ReasonDraining
+	if a.Outcome != cicadaseam.OutcomeNotRun {
+		return false
+	}
+	return a.Reason == cicadaseam.ReasonDraining || a.Reason == cicadaseam.ReasonNotReady
 }
 
 // delay is capped exponential with full jitter. A target that did not run the
--- a/internal/call/retry/retry_test.go
+++ b/internal/call/retry/retry_test.go
@@ -52,9 +52,12 @@
 		}
 	}
 	require.InDelta(t, 100, retries, initialTokens+1)
-	for range 1000 { // a detour around a leaving target costs no token
+	for i := range 1000 { // a detour around a target that leaves or comes costs no token
 		free := a
 		free.Outcome, free.Reason = cicadaseam.OutcomeNotRun, cicadaseam.ReasonDraining
+		if i%2 == 0 {
+			free.Reason = cicadaseam.ReasonNotReady
+		}
 		_, again := b.Decide(free)
 		require.True(t, again)
 	}
--- a/internal/daemon/node/backend.go
+++ b/internal/daemon/node/backend.go
@@ -110,7 +110,7 @@
 	b.runner = runner.New(a.Address, opts...)
 	backend := cicadaseam.Backend{Service: a.Service, Slots: a.Slots, Connections: a.Connections, State: cicadaseam.BackendReady}
 	b.node.target.Attach(b.runner, backend)
-	b.node.gossip.SetBackend(backend)
+	b.tell()
 	b.node.logger.Info("backend server announced", zap.String("service", a.Service), zap.String("address", a.Address), zap.Int("slots", a.Slots))
 }
 
@@ -122,7 +122,7 @@
 	}
 	b.draining = true
 	b.node.target.Drain()
-	b.node.gossip.SetBackend(b.node.target.Backend())
+	b.tell()
 	b.node.logger.Info("backend server drains", zap.String("service", b.current.Service))
 }
 
@@ -138,7 +138,32 @@
 	b.current = nil
 	b.draining = false
 	b.node.target.Detach()
-	b.node.gossip.SetBackend(cicadaseam.Backend{})
+	b.tell()
+}
+
+// tell lets the fleet know the backend server. Before the node is ready it
+// tells of none, so that entry nodes do not try a target that must refuse. The
+// lock is held.
+func (b *backendKeeper) tell() {
+	if !b.node.ready() {
+		return
+	}
+	if b.current == nil {
+		b.node.gossip.SetBackend(cicadaseam.Backend{})
+		return
+	}
+	b.node.gossip.SetBackend(b.node.target.Backend())
+}
+
+// tellWhenReady tells of a backend server that announced itself early.
+func (b *backendKeeper) tellWhenReady(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-b.node.Ready():
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.tell()
+	}
 }
 
 // run ends the lease of a backend server that does not renew.
--- a/internal/daemon/node/failure_test.go
+++ b/internal/daemon/node/failure_test.go
@@ -126,6 +126,28 @@
 	})
 }
 
+// Peers know a restarted node before it holds a version. None of their calls
+// may run there without the limits of their service.
+func TestNodeWithoutAVersionRunsNoCallsOfItsPeers(t *testing.T) {
+	withFleet(t, 6, 5, func(f *fleet) {
+		h := f.hosts[2]
+		f.kill(h)
+		f.start(h, 99)
+		before := 0
+		for i := range 2000 {
+			r := f.call(f.hosts[i%2], "GET", "/flights/1", "passenger")
+			require.Equal(t, 200, r.status, "%s %s", r.outcome, r.reason)
+			if !isReady(h.node) {
+				before++
+				require.Zero(t, h.backend.Stats().Runs)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.Positive(t, before)
+		require.Positive(t, h.backend.Stats().Runs, "it serves once it is ready")
+	})
+}
+
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	withFleet(t, 9, 4, func(f *fleet) {
 		caller := f.hosts[1]
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -328,6 +328,7 @@
 	n.duty(func() { n.feed.Run(ctx) })
 	n.duty(func() { n.writer.Run(ctx) })
 	n.duty(func() { n.backend.run(ctx) })
+	n.duty(func() { n.backend.tellWhenReady(ctx) })
 	n.duty(func() { n.watchMembers(ctx) })
 	keep := n.timers.Subscribe(ledger.KeepPeriod())
 	n.duty(func() { n.ledger.RunKeep(ctx, keep.C) })
