The runner keeps its own connections to the backend server

The HTTP client of the standard library hands a request to a goroutine that writes and one that reads, four wakeups a call, and repeats some requests by itself, which took bodies and header names made to look unrepeatable. Changed: the call's goroutine writes the request and reads the answer with net/http's Request.Write and ReadResponse on a connection of the runner's own. A kept connection is peeked at before use; large bodies are written while the answer is read; a call that ends ends its request by the deadline.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -2,11 +2,21 @@
 //
 // # Model
 //
-// A request is sent once. The HTTP client of the standard library repeats some
-// requests by itself when a kept connection turns out to be closed, also ones
-// with an Idempotency-Key header; the runner gives it bodies that it cannot
-// replay, so that it never does. Each connection counts the bytes written, so
-// that a failed request is known to have reached the backend server or not.
+// A request is sent once, on a connection of the runner's own that is kept
+// between requests. The goroutine of the call writes the request and reads the
+// answer itself. The HTTP client of the standard library hands each request to
+// two other goroutines and repeats some requests by itself when a kept
+// connection turns out to be closed, also ones with an Idempotency-Key header;
+// the runner does neither.
+//
+// A kept connection is looked at before it is used: one that the backend server
+// has closed, or on which it said something unasked, is dropped, and no byte of
+// the request is lost with it.
+//
+// # Invariants
+//
+//   - Sent is false only when no byte of the request was written.
+//   - A connection is kept only after a whole answer, read to its end.
 //
 // # Usage
 //
@@ -20,9 +30,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,9 +46,16 @@
 	HeaderTimeout   = "Cicadaseam-Timeout-Ms"
 )
 
+// DefaultConnections bounds the connections when a backend server says nothing.
+const DefaultConnections = 120
+
 const (
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 8
+	// maxHead bounds the head of an answer, in bytes.
+	maxHead = 1 << 20
 )
 
 // Result is what came of one request.
@@ -59,47 +75,30 @@
 
 // Runner sends requests to one backend server. It is safe for concurrent use.
 type Runner struct {
-	addr   string
-	dial   Dialer
-	client *http.Client
+	addr string
+	dial Dialer
+	pool *pool
 }
 
 // Option changes a new Runner.
-type Option func(*Runner, *http.Transport)
+type Option func(*Runner)
 
 // WithConnections bounds the connections to the backend server.
-func WithConnections(n int) Option {
-	return func(_ *Runner, t *http.Transport) {
-		t.MaxConnsPerHost = n
-		t.MaxIdleConnsPerHost = n
-	}
-}
+func WithConnections(n int) Option { return func(r *Runner) { r.pool = newPool(n) } }
 
 // WithDialer replaces TCP, for tests.
-func WithDialer(d Dialer) Option { return func(r *Runner, _ *http.Transport) { r.dial = d } }
+func WithDialer(d Dialer) Option { return func(r *Runner) { r.dial = d } }
 
 // New returns a runner for the backend server at addr.
 func New(addr string, opts ...Option) *Runner {
-	r := &Runner{addr: addr}
-	t := &http.Transport{
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			nc, err := r.dial(ctx, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: nc}, nil
-		},
-	}
 	d := net.Dialer{Timeout: dialTimeout}
-	r.dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
-	for _, opt := range opts {
-		opt(r, t)
+	r := &Runner{
+		addr: addr,
+		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		pool: newPool(DefaultConnections),
 	}
-	r.client = &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	for _, opt := range opts {
+		opt(r)
 	}
 	return r
 }
@@ -107,8 +106,8 @@
 // Addr returns the address of the backend server.
 func (r *Runner) Addr() string { return r.addr }
 
-// Close drops idle connections.
-func (r *Runner) Close() { r.client.CloseIdleConnections() }
+// Close drops idle connections and keeps none from now on.
+func (r *Runner) Close() { r.pool.close() }
 
 // Refuses reports whether the backend server refuses a new connection, which
 // tells a crashed process from a connection that was only closed.
@@ -121,114 +120,66 @@
 	return false
 }
 
-// countingConn counts the bytes written to a connection.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-// Write implements net.Conn. The count goes up first: a write that fails half
-// way may have sent something.
-func (c *countingConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
-}
-
-// onceBody is a body that the HTTP client cannot replay.
-type onceBody struct {
-	io.Reader
-}
-
-// Close implements io.Closer.
-func (onceBody) Close() error { return nil }
-
-// sentTracker learns whether the request reached a connection.
-type sentTracker struct {
-	conn  *countingConn
-	start int64
-}
-
-func (t *sentTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*countingConn); ok {
-				t.conn = c
-				t.start = c.written.Load()
-			}
-		},
-	}
-}
-
-// sent is read after the request ended.
-func (t *sentTracker) sent() bool {
-	return t.conn != nil && t.conn.written.Load() > t.start
-}
-
 // Run sends a call once and reads its whole answer.
 func (r *Runner) Run(ctx context.Context, call *cicadaseam.Call, maxAnswer int) Result {
-	tracker := &sentTracker{}
-	req, err := r.request(httptrace.WithClientTrace(ctx, tracker.trace()), call)
+	req, err := r.request(ctx, call)
 	if err != nil {
 		return Result{Err: err}
 	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return Result{Sent: tracker.sent(), Err: err}
+	if err := r.pool.acquire(ctx); err != nil {
+		return Result{Err: errors.Wrap(err, "wait for a connection")}
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxAnswer)+1))
+	defer r.pool.release()
+	c, err := r.connect(ctx)
 	if err != nil {
-		return Result{Sent: true, Err: errors.Wrap(err, "read the answer")}
+		return Result{Err: err}
+	}
+	result, reusable := c.exchange(ctx, req, maxAnswer)
+	if reusable {
+		r.pool.put(c)
 	}
-	if len(body) > maxAnswer {
-		return Result{Sent: true, TooLarge: true, Err: errors.Newf("answer is over %d bytes", maxAnswer)}
+	return result
+}
+
+// connect takes a kept connection or opens a new one.
+func (r *Runner) connect(ctx context.Context) (*conn, error) {
+	if c := r.pool.get(time.Now()); c != nil {
+		return c, nil
+	}
+	nc, err := r.dial(ctx, r.addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to backend server %s", r.addr)
 	}
-	return Result{Status: resp.StatusCode, Headers: headersOf(resp.Header), Body: body, Sent: true}
+	return newConn(nc), nil
 }
 
 func (r *Runner) request(ctx context.Context, call *cicadaseam.Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+r.addr+call.Target, bodyOf(call))
+	target, err := url.ParseRequestURI(call.Target)
 	if err != nil {
 		return nil, errors.Wrapf(err, "request %s", call.Target)
 	}
-	req.ContentLength = int64(len(call.Body))
+	req := &http.Request{
+		Method:        call.Method,
+		URL:           target,
+		Host:          r.addr,
+		Header:        make(http.Header, len(call.Headers)+3),
+		ContentLength: int64(len(call.Body)),
+	}
+	if len(call.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+	}
 	for _, h := range call.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
+	req.Header.Del("Expect") // the body is whole here; nothing has to be asked first
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
 	req.Header.Set(HeaderRequestID, call.ID)
 	req.Header.Set(HeaderDepth, strconv.Itoa(call.Depth+1))
-	hideKeys(req.Header)
 	return req, nil
 }
 
-// bodyOf returns a body that the HTTP client cannot replay. A method that has
-// no body counts as replayable without one, so that a call that must not be
-// repeated gets an empty body that is read once.
-func bodyOf(call *cicadaseam.Call) io.Reader {
-	if len(call.Body) > 0 || (!call.Idempotent && lacksBody[call.Method]) {
-		return onceBody{bytes.NewReader(call.Body)}
-	}
-	return http.NoBody
-}
-
-// lacksBody are the methods that the HTTP client repeats by itself.
-var lacksBody = map[string]bool{http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true}
-
-// hideKeys spells the headers that make the HTTP client repeat any request in
-// lower case, by which it does not know them. To the backend server they are
-// the same.
-func hideKeys(h http.Header) {
-	for canonical, lower := range map[string]string{"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"} {
-		if values := h[canonical]; values != nil {
-			h[lower] = values
-			delete(h, canonical)
-		}
-	}
-}
-
 // hopByHop are headers of one connection, which are not passed on.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
--- a/internal/call/runner/runner_test.go
+++ b/internal/call/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -109,6 +110,144 @@
 	require.NoError(t, r.Run(context.Background(), &cicadaseam.Call{Method: "GET", Target: "/x"}, 1000).Err)
 }
 
+// serveRaw serves each connection with a function and counts them.
+func serveRaw(t *testing.T, serve func(net.Conn, *bufio.Reader)) (addr string, connections *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// What a backend server may do between and within answers, and how many
+// connections two calls then need.
+func TestConnections(t *testing.T) {
+	always := func(answer string) func(net.Conn, *bufio.Reader) {
+		return func(c net.Conn, r *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				fmt.Fprint(c, answer)
+			}
+		}
+	}
+	once := func(answer string) func(net.Conn, *bufio.Reader) {
+		return func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				fmt.Fprint(c, answer)
+			}
+		}
+	}
+	cases := []struct {
+		name        string
+		serve       func(net.Conn, *bufio.Reader)
+		connections int64
+	}{
+		{"kept", always(okAnswer), 1},
+		{"interim answers are passed over", always("HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer), 1},
+		{"chunked", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"), 1},
+		{"closed while idle", once(okAnswer), 2},
+		{"announced close", always("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"), 2},
+		{"until the connection ends", once("HTTP/1.0 200 OK\r\n\r\nok"), 2},
+		{"bytes nobody asked for", always(okAnswer + "junk"), 2},
+	}
+	for _, tc := range cases {
+		addr, connections := serveRaw(t, tc.serve)
+		r := New(addr)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			result := r.Run(ctx, &cicadaseam.Call{Method: "GET", Target: "/x"}, 1<<10)
+			cancel()
+			require.NoError(t, result.Err, tc.name)
+			require.Equal(t, "ok", string(result.Body), tc.name)
+			time.Sleep(20 * time.Millisecond) // what the server still does has reached the socket
+		}
+		require.Equal(t, tc.connections, connections.Load(), tc.name)
+	}
+}
+
+func TestKeptConnectionOutlivesTheDeadlineOfItsCall(t *testing.T) {
+	addr, connections := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			fmt.Fprint(c, okAnswer)
+		}
+	})
+	r := New(addr)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		require.NoError(t, r.Run(ctx, &cicadaseam.Call{Method: "GET", Target: "/x"}, 1<<10).Err)
+		<-ctx.Done()
+		cancel()
+	}
+	require.Equal(t, int64(1), connections.Load())
+}
+
+func TestCallThatEndsEndsItsRequest(t *testing.T) {
+	addr, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) { _, _ = r.ReadByte(); time.Sleep(time.Minute) }) // never answers
+	r := New(addr, WithConnections(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	result := r.Run(ctx, &cicadaseam.Call{Method: "POST", Target: "/x", Body: []byte("x")}, 1<<10)
+	require.Error(t, result.Err)
+	require.True(t, result.Sent)
+	result = r.Run(ctx, &cicadaseam.Call{Method: "POST", Target: "/x", Body: []byte("x")}, 1<<10)
+	require.Error(t, result.Err)
+	require.False(t, result.Sent, "a call that has ended is not sent")
+}
+
+// A backend server may answer while it reads, or without reading at all.
+func TestLargeBodies(t *testing.T) {
+	body := make([]byte, 16<<20)
+	echo := func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", req.ContentLength)
+		_, _ = io.Copy(c, req.Body) // the caller sees what came
+	}
+	refuse := func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			fmt.Fprint(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(time.Minute) // and does not close either
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		serve  func(net.Conn, *bufio.Reader)
+		status int
+		size   int
+	}{{"echo", echo, 200, len(body)}, {"refused unread", refuse, 413, 0}} {
+		addr, _ := serveRaw(t, tc.serve)
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		result := New(addr).Run(ctx, &cicadaseam.Call{Method: "POST", Target: "/x", Body: body}, len(body))
+		cancel()
+		require.NoError(t, result.Err, tc.name)
+		require.True(t, result.Sent, tc.name)
+		require.Equal(t, tc.status, result.Status, tc.name)
+		require.Len(t, result.Body, tc.size, tc.name)
+	}
+}
+
 func TestHeadersOfTheConnectionAreNotPassedOn(t *testing.T) {
 	h := http.Header{}
 	h.Set("Connection", "close, X-Hop")
