Messages between nodes are arrays; handlers run on goroutines that stay

Cause: the profile of a call through two nodes shows 7% in decoding messages, most of it names of fields, 5% in growing the stacks of new goroutines, and copies of headers. Changed: package pack encodes links and datagrams as arrays with small numbers (format numbers 2; an older one is refused whole). Headers of a call are copied once.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -31,6 +31,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -189,13 +190,10 @@
 }
 
 func headersOf(h http.Header) []cicadaseam.Header {
-	var out []cicadaseam.Header
+	out := make([]cicadaseam.Header, 0, len(h))
 	for name, values := range h {
-		if hopByHop[name] {
-			continue
-		}
-		for _, v := range values {
-			out = append(out, cicadaseam.Header{Name: name, Value: v})
+		if !hopByHop[name] {
+			out = appendHeader(out, name, values)
 		}
 	}
 	return out
@@ -204,23 +202,36 @@
 // RequestHeaders returns the headers of a request that are passed on. Headers
 // named in Connection belong to the connection too.
 func RequestHeaders(h http.Header) []cicadaseam.Header {
-	clean := h.Clone()
+	var named []string
 	for _, list := range h.Values("Connection") {
-		for _, name := range splitTokens(list) {
-			clean.Del(name)
+		named = append(named, splitTokens(list)...)
+	}
+	out := make([]cicadaseam.Header, 0, len(h))
+	for name, values := range h {
+		if !hopByHop[name] && !ownHeaders[name] && !slices.Contains(named, name) {
+			out = appendHeader(out, name, values)
 		}
 	}
-	clean.Del(HeaderDepth)
-	clean.Del(HeaderTimeout)
-	clean.Del(HeaderRequestID)
-	return headersOf(clean)
+	return out
+}
+
+// ownHeaders are set by the runner; what a caller sends under these names
+// stays at the entry.
+var ownHeaders = map[string]bool{HeaderRequestID: true, HeaderDepth: true, HeaderTimeout: true}
+
+func appendHeader(out []cicadaseam.Header, name string, values []string) []cicadaseam.Header {
+	for _, v := range values {
+		out = append(out, cicadaseam.Header{Name: name, Value: v})
+	}
+	return out
 }
 
+// splitTokens returns the names of headers in a list, in canonical form.
 func splitTokens(list string) []string {
 	var out []string
 	for _, part := range bytes.Split([]byte(list), []byte(",")) {
 		if name := string(bytes.TrimSpace(part)); name != "" {
-			out = append(out, name)
+			out = append(out, http.CanonicalHeaderKey(name))
 		}
 	}
 	return out
--- a/internal/call/runner/runner_test.go
+++ b/internal/call/runner/runner_test.go
@@ -250,7 +250,7 @@
 
 func TestHeadersOfTheConnectionAreNotPassedOn(t *testing.T) {
 	h := http.Header{}
-	h.Set("Connection", "close, X-Hop")
+	h.Set("Connection", "close, x-hop")
 	h.Set("X-Hop", "1")
 	h.Set("Cicadaseam-Depth", "9")
 	h.Set("Authorization", "Bearer t")
--- a/internal/link/method/method.go
+++ b/internal/link/method/method.go
@@ -10,7 +10,8 @@
 
 import (
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 )
 
 // The requests between nodes. A number is never used again for another
@@ -46,11 +47,11 @@
 
 // Encode returns the payload of a message.
 func Encode(message any) ([]byte, error) {
-	data, err := msgpack.Marshal(message)
+	data, err := pack.Marshal(message)
 	return data, errors.Wrapf(err, "encode %T", message)
 }
 
 // Decode fills a message from a payload.
 func Decode(payload []byte, message any) error {
-	return errors.Wrapf(msgpack.Unmarshal(payload, message), "decode %T", message)
+	return errors.Wrapf(pack.Unmarshal(payload, message), "decode %T", message)
 }
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -14,6 +14,7 @@
 // Server serves the connections of peers.
 type Server struct {
 	handler Handler
+	workers *workers
 	counts  Counters
 
 	mu    sync.Mutex
@@ -26,7 +27,7 @@
 
 // NewServer returns a server that hands requests to handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, conns: map[*serverConn]bool{}}
+	return &Server{handler: handler, workers: newWorkers(), conns: map[*serverConn]bool{}}
 }
 
 // Counters returns the counters of the server.
@@ -88,6 +89,7 @@
 		c.close()
 	}
 	s.mu.Unlock()
+	s.workers.close()
 	s.wg.Wait()
 }
 
@@ -197,7 +199,7 @@
 	c.running[id] = cancel
 	c.mu.Unlock()
 	c.server.open.Add(1)
-	go c.serve(ctx, id, method, payload)
+	c.server.workers.do(func() { c.serve(ctx, id, method, payload) })
 }
 
 func (c *serverConn) serve(ctx context.Context, id uint64, method uint8, payload []byte) {
--- a/internal/member/detect/news.go
+++ b/internal/member/detect/news.go
@@ -3,9 +3,8 @@
 import (
 	"math"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 )
 
 // news holds the ids of members whose updates are to be spread, in buckets by
@@ -101,7 +100,7 @@
 }
 
 func encodedSize(m cicadaseam.Member) int {
-	data, err := msgpack.Marshal(&m)
+	data, err := pack.Marshal(&m)
 	if err != nil {
 		return MaxPacket
 	}
--- a/internal/member/detect/packet.go
+++ b/internal/member/detect/packet.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 )
 
 // Format is the number of the packet format.
-const Format = 1
+const Format = 2
 
 // MaxPacket bounds an encoded packet in bytes: one Ethernet frame.
 const MaxPacket = 1400
@@ -37,9 +36,6 @@
 
 // Packet is one datagram between nodes.
 type Packet struct {
-	//lint:ignore U1000 read by msgpack
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Kind     Kind
 	Seq      uint64
 	From     string
@@ -64,7 +60,7 @@
 
 // Encode returns the datagram of a packet.
 func Encode(p *Packet) ([]byte, error) {
-	body, err := msgpack.Marshal(p)
+	body, err := pack.Marshal(p)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +73,7 @@
 		return nil, &DecodeError{Reason: "unknown format"}
 	}
 	var p Packet
-	if err := msgpack.Unmarshal(data[1:], &p); err != nil {
+	if err := pack.Unmarshal(data[1:], &p); err != nil {
 		return nil, &DecodeError{Reason: err.Error()}
 	}
 	if p.From == "" || p.Kind < Ping || p.Kind > Spread {
