cicadabench tells what it measured on: windows, time lost to other machines, limits

Cause: added p99 differs between runs of one build from 0.5 to 16 ms; nothing in the results says why. The host takes processor time from this machine at times. Changed: the calls phase runs in windows of 2 s and gives the median of their added p99 beside that of the whole, the time that the host took, and the lowest limit of a target. The phase has a file of its own.

--- a/internal/bench/procs/observe.go
+++ b/internal/bench/procs/observe.go
@@ -123,6 +123,7 @@
 	Control  []float64 // bytes by node
 	CPU      []float64 // seconds by node
 	RSS      []float64 // bytes by node
+	Limit    []float64 // calls that each target runs at once at most
 	LogReads int64
 	Appends  int64
 }
@@ -146,13 +147,11 @@
 		u.Control = append(u.Control, m["control.bytes"])
 		u.CPU = append(u.CPU, cpu)
 		u.RSS = append(u.RSS, rss)
+		u.Limit = append(u.Limit, m["target.limit"])
 	}
 	return u, nil
 }
 
-// clockTicks is the unit of processor time in /proc, in ticks a second.
-const clockTicks = 100
-
 // processUsage returns the processor seconds and the resident bytes of a
 // process.
 func processUsage(pid int) (cpu, rss float64, err error) {
@@ -167,5 +166,5 @@
 		return x
 	}
 	const userTime, systemTime, residentPages = 14, 15, 24
-	return (number(userTime) + number(systemTime)) / clockTicks, number(residentPages) * float64(os.Getpagesize()), nil
+	return (number(userTime) + number(systemTime)) * clockTick.Seconds(), number(residentPages) * float64(os.Getpagesize()), nil
 }
--- a/internal/command/benchcli/phases.go
+++ b/internal/command/benchcli/phases.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
-	"sort"
+	"slices"
 	"syscall"
 	"time"
 
@@ -12,8 +11,6 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
-	"github.com/cicadaseam/cicadaseam/internal/bench/load"
-	"github.com/cicadaseam/cicadaseam/internal/bench/plan"
 	"github.com/cicadaseam/cicadaseam/internal/bench/procs"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
 )
@@ -203,68 +200,6 @@
 	return e.addUsage(before, after)
 }
 
-// Series of the calls phase.
-const (
-	seriesThrough = iota
-	seriesDirect
-	seriesCount
-	// directShare is the share of direct calls added to the rate.
-	directShare = 0.2
-)
-
-// calls compares calls through nodes with calls to the same backend servers at
-// the same time.
-func (e *experiment) calls(ctx context.Context) error {
-	client := load.NewClient()
-	defer client.CloseIdleConnections()
-	cfg := load.Config{Rate: int(float64(e.Rate) / (1 - directShare)), Length: time.Second, Seed: e.Seed}
-	if _, err := load.Run(ctx, cfg, client, seriesCount, e.nextCall); err != nil { // opens the connections
-		return err
-	}
-	cfg.Length = time.Duration(e.Seconds) * time.Second
-	var results []load.Result
-	before, after, err := e.measure(ctx, func() error {
-		var err error
-		results, err = load.Run(ctx, cfg, client, seriesCount, e.nextCall)
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	through, direct := results[seriesThrough], results[seriesDirect]
-	cpu := mean(rates(before.CPU, after.CPU, 1)) * float64(len(before.CPU))
-	ms := func(r load.Result, q float64) float64 {
-		return float64(r.Latency.ValueAtQuantile(q)) / float64(time.Millisecond)
-	}
-	return e.addAll(
-		figure{"calls", float64(through.Calls), "calls"},
-		figure{"good", float64(through.Good), "calls"},
-		figure{"direct p50", ms(direct, 50), "ms"},
-		figure{"direct p99", ms(direct, 99), "ms"},
-		figure{"added p50", ms(through, 50) - ms(direct, 50), "ms"},
-		figure{"added p99", ms(through, 99) - ms(direct, 99), "ms"},
-		figure{"processor for a call, all nodes", 1e6 * cpu / float64(through.Calls), "us"},
-		figure{"memory, largest", largest(after.RSS) / (1 << 20), "MB a node"},
-	)
-}
-
-// nextCall returns a call through a random node to a random service, or now
-// and then one to a backend server itself.
-func (e *experiment) nextCall(rng *rand.Rand) (*http.Request, int, error) {
-	n := e.fleet.Nodes[rng.IntN(len(e.fleet.Nodes))]
-	if rng.Float64() < directShare {
-		req, err := http.NewRequest(http.MethodGet, "http://"+n.Backend.Addr()+"/direct", nil)
-		return req, seriesDirect, err
-	}
-	path := plan.Path(rng.IntN(min(plan.Services, e.Nodes)))
-	req, err := http.NewRequest(http.MethodGet, n.Calls+path, nil)
-	if err != nil {
-		return nil, 0, err
-	}
-	req.Header.Set("Authorization", "Bearer "+plan.Token)
-	return req, seriesThrough, nil
-}
-
 // faults kills a node, pauses another and takes the log down.
 func (e *experiment) faults(ctx context.Context) error {
 	if err := e.killOne(ctx); err != nil {
@@ -380,6 +315,19 @@
 	return sum / float64(max(len(values), 1))
 }
 
+// median returns the middle value, the mean of two where there are two.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
 func largest(values []float64) float64 {
 	most := 0.0
 	for _, v := range values {
@@ -393,6 +341,6 @@
 		return 0
 	}
 	sorted := append([]float64(nil), values...)
-	sort.Float64s(sorted)
+	slices.Sort(sorted)
 	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
 }
