--- a/internal/bench/procs/observe.go
+++ b/internal/bench/procs/observe.go
@@ -124,6 +124,7 @@
 	CPU      []float64 // seconds by node
 	RSS      []float64 // bytes by node
 	Limit    []float64 // calls that each target runs at once at most
+	Reads    []float64 // reads of the log by node
 	LogReads int64
 	Appends  int64
 }
@@ -148,6 +149,7 @@
 		u.CPU = append(u.CPU, cpu)
 		u.RSS = append(u.RSS, rss)
 		u.Limit = append(u.Limit, m["target.limit"])
+		u.Reads = append(u.Reads, m["config.log-reads"])
 	}
 	return u, nil
 }
--- a/internal/command/benchcli/phases.go
+++ b/internal/command/benchcli/phases.go
@@ -108,7 +108,30 @@
 	if err != nil {
 		return err
 	}
-	return e.addUsage(before, after)
+	if err := e.addUsage(before, after); err != nil {
+		return err
+	}
+	return e.addRoles(before, after)
+}
+
+// addRoles tells the nodes that read the log in every other second or oftener
+// from the others.
+func (e *experiment) addRoles(before, after procs.Usage) error {
+	seconds := after.At.Sub(before.At).Seconds()
+	var readers, others []float64
+	cpu := rates(before.CPU, after.CPU, seconds)
+	for i, reads := range rates(before.Reads, after.Reads, seconds) {
+		if reads >= 0.5 {
+			readers = append(readers, 100*cpu[i])
+			continue
+		}
+		others = append(others, 100*cpu[i])
+	}
+	return e.addAll(
+		figure{"readers", float64(len(readers)), "nodes"},
+		figure{"processor, readers, mean", mean(readers), "% of a core a node"},
+		figure{"processor, other nodes, mean", mean(others), "% of a core a node"},
+	)
 }
 
 // changes publishes changes and takes the times at which nodes took them.
