A key past the window is refused in a quiet shard too

Its 40 later filings have random keys; with a chance of (7/8)^40 none of them falls into the shard of the key, whose floor then stays. It ran once all the same: the answer was the one kept. Ruled out: a second run (requireOnce passes), the change of exchanges it was seen with. Changed: the writer takes a known claim for the verdict only while its key is in the window; an older one is asked of the stream, whose record moves the floor. Before: TestOldKeyOfAQuietShard, without any later filing, 200 instead of 410. Conclusion: what an old key gets no longer depends on other keys.

--- a/internal/call/ledger/writer.go
+++ b/internal/call/ledger/writer.go
@@ -255,9 +255,7 @@
 			pending = d.keep(pending, r)
 			continue
 		}
-		holder := d.state.Lookup(r.op.Key)
-		decided := d.state.Expired(r.op.Key) || (r.op.Kind == OpClaim && holder != nil)
-		if decided {
+		if d.decided(r.op) {
 			r.done <- answer{result: d.verdict(r.op)}
 			continue
 		}
@@ -266,6 +264,22 @@
 	return pending
 }
 
+// decided reports whether the stream has given its verdict already. A key that
+// has grown old since the last record is asked again: the floor of the new
+// record is the verdict on it, for every reader.
+func (d *duty) decided(op Op) bool {
+	if d.state.Expired(op.Key) {
+		return true
+	}
+	if op.Key.Stamp <= d.floor() {
+		return false
+	}
+	return op.Kind == OpClaim && d.state.Lookup(op.Key) != nil
+}
+
+// floor is the time at or before which keys are too old by now.
+func (d *duty) floor() int64 { return time.Now().Add(-d.w.window).UnixMilli() }
+
 // keep appends only where there is something to keep.
 func (d *duty) keep(pending []request, r request) []request {
 	if d.state.Position() == 0 {
@@ -341,7 +355,7 @@
 // of other writers in between count first.
 func (d *duty) append(ctx context.Context, batch []request) error {
 	b := &Batch{
-		Floor: time.Now().Add(-d.w.window).UnixMilli(),
+		Floor: d.floor(),
 		High:  max(d.state.High(), d.state.Floor()),
 		Seen:  d.state.Position(),
 	}
--- a/internal/daemon/node/once_test.go
+++ b/internal/daemon/node/once_test.go
@@ -222,6 +222,23 @@
 	}, func(s *node.Settings) { s.LedgerWindow = 2 * time.Minute })
 }
 
+// A key grows old also where nothing else is filed that moves the floor of its
+// shard.
+func TestOldKeyOfAQuietShard(t *testing.T) {
+	withFleet(t, 6, 29, func(f *fleet) {
+		key := newKey(t)
+		first := f.file(f.hosts[0], key)
+		require.Equal(t, 200, first.status)
+		time.Sleep(150 * time.Second)
+		for _, h := range f.hosts {
+			late := f.file(h, key)
+			require.Equal(t, 410, late.status, "%s %s", late.outcome, late.reason)
+			require.Equal(t, "unknown", late.outcome)
+		}
+		f.requireOnce(key, first)
+	}, func(s *node.Settings) { s.LedgerWindow = 2 * time.Minute })
+}
+
 func TestTrimmedLedgerNeverRunsAKeyAgain(t *testing.T) {
 	withFleet(t, 6, 28, func(f *fleet) {
 		var keys []string
