Exchanges of a herd: one deadline in place of two states

An exchange that does not end counts as due again after 10 s by the same field that holds the next wait; the flag for one under way is gone. Before, one that was late would have been begun again with each tick.

--- a/internal/member/gossip/gossip.go
+++ b/internal/member/gossip/gossip.go
@@ -6,7 +6,8 @@
 // One duty owns the detector: it is fed by ticks, by datagrams from the
 // receiving duty and by commands, through one bounded ring. Full state is
 // exchanged over links at a join and when a zone's digest stays different;
-// such exchanges are limited to one a syncPeriod. A datagram may be lost, and
+// such exchanges are limited to one a syncPeriod. A node that has just joined
+// exchanges the whole fleet a few times, until that changes nothing. A datagram may be lost, and
 // a full ring drops the oldest datagram; both are repaired by later ones.
 //
 // # Usage
--- a/internal/member/gossip/settle.go
+++ b/internal/member/gossip/settle.go
@@ -26,7 +26,6 @@
 	wait  time.Duration
 	made  int
 	quiet int
-	out   bool
 }
 
 // next reports whether an exchange is to begin now.
@@ -39,18 +38,17 @@
 		s.due = now.Add(s.jitter())
 		return false
 	}
-	if now.Before(s.due) || s.out && now.Before(s.due.Add(settleSlack)) {
+	if now.Before(s.due) {
 		return false
 	}
 	s.made++
-	s.out = true
+	s.due = now.Add(settleSlack)
 	return true
 }
 
 // ended takes the result of an exchange: how many members were new to one of
 // the two sides.
 func (s *settling) ended(now time.Time, fresh int) {
-	s.out = false
 	s.quiet++
 	if fresh > 0 {
 		s.quiet = 0
