Read once more: members listed only when an exchange is due

A node that settles listed and sorted all members with each tick, by a filter that view.Live already is; it now does so only when an exchange is due, by view.Live. In cicadabench a length that does not change is set before the loop and the rate that makes a reader has a name.

--- a/internal/command/benchcli/calls.go
+++ b/internal/command/benchcli/calls.go
@@ -35,13 +35,13 @@
 	if _, err := load.Run(ctx, cfg, client, seriesCount, e.nextCall); err != nil { // opens the connections
 		return err
 	}
+	cfg.Length = time.Duration(min(e.Seconds, windowSeconds)) * time.Second
 	var w windows
 	lost := procs.Lost()
 	began := time.Now()
 	before, after, err := e.measure(ctx, func() error {
 		for range max(1, e.Seconds/windowSeconds) {
 			cfg.Seed++
-			cfg.Length = min(time.Duration(e.Seconds)*time.Second, windowSeconds*time.Second)
 			results, err := load.Run(ctx, cfg, client, seriesCount, e.nextCall)
 			if err != nil {
 				return err
--- a/internal/command/benchcli/phases.go
+++ b/internal/command/benchcli/phases.go
@@ -114,14 +114,17 @@
 	return e.addRoles(before, after)
 }
 
-// addRoles tells the nodes that read the log in every other second or oftener
-// from the others.
+// readerRate is how many reads of the log a second make a node a reader: a
+// reader polls once a second.
+const readerRate = 0.5
+
+// addRoles tells the readers of the log from the other nodes.
 func (e *experiment) addRoles(before, after procs.Usage) error {
 	seconds := after.At.Sub(before.At).Seconds()
 	var readers, others []float64
 	cpu := rates(before.CPU, after.CPU, seconds)
 	for i, reads := range rates(before.Reads, after.Reads, seconds) {
-		if reads >= 0.5 {
+		if reads >= readerRate {
 			readers = append(readers, 100*cpu[i])
 			continue
 		}
--- a/internal/member/gossip/gossip.go
+++ b/internal/member/gossip/gossip.go
@@ -7,8 +7,9 @@
 // receiving duty and by commands, through one bounded ring. Full state is
 // exchanged over links at a join and when a zone's digest stays different;
 // such exchanges are limited to one a syncPeriod. A node that has just joined
-// exchanges the whole fleet a few times, until that changes nothing. A datagram may be lost, and
-// a full ring drops the oldest datagram; both are repaired by later ones.
+// exchanges the whole fleet a few times, until that changes nothing. A datagram
+// may be lost, and a full ring drops the oldest datagram; both are repaired by
+// later ones.
 //
 // # Usage
 //
--- a/internal/member/gossip/settle.go
+++ b/internal/member/gossip/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadaseam/cicadaseam"
@@ -67,14 +68,16 @@
 
 // settle begins a whole exchange when one is due.
 func (g *Gossip) settle(ctx context.Context, now time.Time) {
-	if g.settling.done() {
+	v := g.View()
+	if len(v.Members) == 0 || !g.settling.next(now) {
 		return
 	}
-	others := g.others()
-	if len(others) == 0 || !g.settling.next(now) {
+	peers := slices.DeleteFunc(v.Live(""), func(m cicadaseam.Member) bool { return m.ID == v.Self.ID })
+	if len(peers) == 0 {
+		g.settling.ended(now, 1) // nobody to ask says nothing
 		return
 	}
-	peer := others[g.rng.IntN(len(others))]
+	peer := peers[g.rng.IntN(len(peers))]
 	g.counts.Syncs.Add(1)
 	request := zoneMessage{Known: g.known("")}
 	g.exchanges.Go(func() {
@@ -86,17 +89,6 @@
 	})
 }
 
-// others returns the members that are not known to be dead, gone or silent.
-func (g *Gossip) others() []cicadaseam.Member {
-	var out []cicadaseam.Member
-	for _, m := range g.detector.Members() {
-		if m.State <= cicadaseam.MemberSuspect {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // known returns the incarnations of the members of a zone, or of all.
 func (g *Gossip) known(zone string) map[string]uint64 {
 	known := map[string]uint64{}
