--- a/call.go
+++ b/call.go
@@ -114,6 +114,8 @@
 	ReasonCrash        Reason = "backend-crashed"
 	ReasonCanceled     Reason = "canceled"
 	ReasonAnswerLarge  Reason = "answer-too-large"
+	ReasonRejected     Reason = "backend-rejected"
+	ReasonBudget       Reason = "retry-budget"
 )
 
 // CallError reports a call without an answer of a backend server.
--- a/embed/embed.go
+++ b/embed/embed.go
@@ -26,11 +26,11 @@
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/call/balance"
+	"github.com/cicadaseam/cicadaseam/internal/client/logclient"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
 	"github.com/cicadaseam/cicadaseam/internal/config/store"
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
-	"github.com/cicadaseam/cicadaseam/internal/platform/logclient"
 )
 
 // NewMemoryLog returns a log in memory, for tests and trials.
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -92,6 +92,21 @@
 	}}
 }
 
+// Float is a number within bounds.
+func Float(to *float64, section, key string, fallback, low, high float64, unit, help string) Field {
+	return Field{Section: section, Key: key, Default: strconv.FormatFloat(fallback, 'g', -1, 64), Help: help, Unit: unit, set: func(v string) error {
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", v)
+		}
+		if x < low || x > high {
+			return fmt.Errorf("%g is outside %g to %g", x, low, high)
+		}
+		*to = x
+		return nil
+	}}
+}
+
 // Duration is a time within bounds.
 func Duration(to *time.Duration, section, key string, fallback, low, high time.Duration, help string) Field {
 	return Field{Section: section, Key: key, Default: fallback.String(), Help: help, Unit: "duration", set: func(v string) error {
--- a/internal/platform/netio/netio.go
+++ b/internal/client/netio/netio.go
@@ -10,7 +10,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,11 +23,9 @@
 
 var _ cicadaseam.Network = (*Network)(nil)
 
-const keepAlive = 15 * time.Second
-
 // New returns the network of this host.
 func New() *Network {
-	return &Network{dialer: net.Dialer{KeepAlive: keepAlive}}
+	return &Network{dialer: *Dialer(0)}
 }
 
 // Dial implements cicadaseam.Network.
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -31,6 +31,7 @@
 type commands struct {
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a deployment of the brief in one process and check its promises"`
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
+	Sidecar  *sidecarCommand  `arg:"subcommand:sidecar" help:"run a mesh proxy beside a backend server of the platform"`
 	Logd     *logdCommand     `arg:"subcommand:logd" help:"run the stand-in log"`
 	Backend  *backendCommand  `arg:"subcommand:backend" help:"run a stand-in backend server"`
 	Call     *callCommand     `arg:"subcommand:call" help:"make calls through a node"`
--- a/internal/command/cli/daemons.go
+++ b/internal/command/cli/daemons.go
@@ -12,12 +12,12 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
+	"github.com/cicadaseam/cicadaseam/internal/client/logclient"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/demo"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
 	"github.com/cicadaseam/cicadaseam/internal/fake/backend"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logd"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
-	"github.com/cicadaseam/cicadaseam/internal/platform/logclient"
 )
 
 type demoCommand struct {
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
 	"github.com/cicadaseam/cicadaseam/internal/call/runner"
 	"github.com/cicadaseam/cicadaseam/internal/call/target"
+	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/config/feed"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
 	"github.com/cicadaseam/cicadaseam/internal/config/spread"
@@ -42,7 +43,6 @@
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/member/announce"
 	"github.com/cicadaseam/cicadaseam/internal/member/gossip"
-	"github.com/cicadaseam/cicadaseam/internal/platform/netio"
 	"github.com/cicadaseam/cicadaseam/internal/report/burn"
 )
 
--- /dev/null
+++ b/internal/daemon/sidecar/link.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/link/method"
+	"github.com/cicadaseam/cicadaseam/internal/link/mux"
+)
+
+// answerMargin is how much longer than the target's time an answer is waited for.
+const answerMargin = 10 * time.Millisecond
+
+// linkCaller sends calls to other nodes.
+type linkCaller struct{ node *Node }
+
+// Run implements dispatch.Links.
+func (c linkCaller) Run(ctx context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
+	payload, err := method.Encode(call)
+	if err != nil {
+		c.node.logger.Error("call not encoded", zap.String("request", call.ID), zap.Error(err))
+		return &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonLink}
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.Budget+answerMargin)
+	defer cancel()
+	data, err := c.node.pool.Request(ctx, addr, method.Run, payload)
+	if err != nil {
+		return c.lost(ctx, addr, call, err)
+	}
+	answer := &cicadaseam.MeshAnswer{}
+	if err := method.Decode(data, answer); err != nil {
+		c.node.logger.Error("answer not decoded", zap.String("request", call.ID), zap.String("peer", addr), zap.Error(err))
+		return &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink, Offered: true}
+	}
+	return answer
+}
+
+// lost tells what is known of a call without an answer.
+func (c linkCaller) lost(ctx context.Context, addr string, call *cicadaseam.MeshCall, err error) *cicadaseam.MeshAnswer {
+	var le *mux.LinkError
+	a := &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink, Offered: true}
+	if errors.As(err, &le) && !le.Sent {
+		a.Outcome = cicadaseam.OutcomeNotRun
+		a.Offered = false
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.Reason = cicadaseam.ReasonDeadline
+	case ctx.Err() != nil:
+		a.Reason = cicadaseam.ReasonCanceled
+	default:
+		c.node.logger.Info("link failed", zap.String("request", call.ID), zap.String("peer", addr), zap.Error(err))
+	}
+	return a
+}
+
+// serveLink serves the requests of other nodes.
+func (n *Node) serveLink(ctx context.Context, m uint8, payload []byte) ([]byte, error) {
+	switch m {
+	case method.Run:
+		var call cicadaseam.MeshCall
+		if err := method.Decode(payload, &call); err != nil {
+			return nil, err
+		}
+		return method.Encode(n.target.Run(ctx, &call))
+	case method.Document:
+		return n.keeper.Document(), nil
+	}
+	return nil, errors.Newf("unknown method %d", m)
+}
+
+// fetchDocument asks another node for its newest document.
+func (n *Node) fetchDocument(ctx context.Context, addr string) ([]byte, error) {
+	return n.pool.Request(ctx, addr, method.Document, nil)
+}
--- /dev/null
+++ b/internal/daemon/sidecar/sidecar.go
@@ -0,0 +1,267 @@
+// Package sidecar puts the parts of a mesh proxy together: the process beside one
+// backend server, for deployments whose operators write whole revisions.
+//
+// # Model
+//
+// Callers and the backend server send requests to front, which hands them to
+// dispatch; that asks a target, here or at another node over a link; the target
+// runs them at its backend server. revision keeps the configuration in force,
+// fleet knows the other nodes. Nothing is kept here: what must last lies in the
+// platform's store, reached through the interfaces of the root package.
+//
+// # Shutdown
+//
+// At SIGTERM the node says at once that it is not ready and tells the others that
+// it leaves. It goes on serving what still comes until its callers had time to
+// hear of it, closing connections with their next answers, and ends when nothing
+// is open or the grace time is over.
+//
+// # Usage
+//
+//	n, err := sidecar.New(settings, platform, sidecar.WithLogger(logger))
+//	err = n.Run(ctx)
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+	"github.com/cicadaseam/cicadaseam/internal/client/netio"
+	"github.com/cicadaseam/cicadaseam/internal/link/mux"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// listenBacklog is how long New waits for an address that is still in use.
+	listenRetry = 50 * time.Millisecond
+	listenTries = 40
+)
+
+// Platform is what a sidecar needs of the place where it runs.
+type Platform struct {
+	Source    cicadaseam.RevisionSource
+	Directory cicadaseam.Directory
+	Headers   cicadaseam.MeshHeaders
+	// Registry returns the handler for what the backend server says of itself.
+	Registry func(to *Instances) http.Handler
+}
+
+// Node is one running sidecar.
+type Node struct {
+	settings Settings
+	platform Platform
+	logger   *zap.Logger
+	epoch    int64
+
+	timers   *timer.Service
+	pool     *mux.Pool
+	links    *mux.Server
+	fleet    *fleet.Fleet
+	keeper   *revision.Keeper
+	target   *target.Target
+	dispatch *dispatch.Dispatcher
+	front    *front.Server
+	meter    *meter
+
+	listeners struct{ calls, ready, backend, links, metrics net.Listener }
+	servers   []*http.Server
+
+	leaving atomic.Bool
+	joined  atomic.Bool
+	left    sync.Map // instances whose leaving lies in the directory
+	wg      sync.WaitGroup
+}
+
+// Option changes a new Node.
+type Option func(*Node)
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option { return func(n *Node) { n.logger = l } }
+
+// New returns a node that listens and does not work yet.
+func New(settings Settings, platform Platform, opts ...Option) (*Node, error) {
+	now := time.Now()
+	n := &Node{settings: settings, platform: platform, logger: zap.NewNop(), epoch: now.UnixNano(), meter: newMeter()}
+	for _, opt := range opts {
+		opt(n)
+	}
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	conn, err := netio.New().ListenPacket(settings.Links)
+	if err != nil {
+		n.closeListeners()
+		return nil, errors.Wrapf(err, "listen for beats on %s", settings.Links)
+	}
+	n.build(now, conn)
+	return n, nil
+}
+
+func (n *Node) build(now time.Time, conn cicadaseam.PacketConn) {
+	s := &n.settings
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.pool = mux.NewPool(netio.New(), n.timers)
+	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
+	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithChanged(n.instanceChanged))
+	n.keeper = revision.New(n.platform.Source, n.fetchDocument, revision.WithLogger(n.logger), revision.WithChanged(n.tell))
+	n.fleet = fleet.New(s.Links, conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
+	allowance := dispatch.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+	n.dispatch = dispatch.New(s.Links, s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
+		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter),
+		dispatch.WithBudget(dispatch.NewBudget(now, allowance)))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithLogger(n.logger))
+}
+
+// tell sends a beat soon, once there is a fleet.
+func (n *Node) tell() {
+	if n.fleet != nil {
+		n.fleet.Tell()
+	}
+}
+
+func (n *Node) limits() cicadaseam.Limits {
+	if t := n.keeper.Table(); t != nil {
+		return t.Limits
+	}
+	return cicadaseam.Limits{}
+}
+
+// beat returns what this node tells the others.
+func (n *Node) beat(now time.Time) fleet.Beat {
+	instance, serving := n.target.Instance(now)
+	return fleet.Beat{
+		Node:     n.settings.Name,
+		Addr:     n.settings.Links,
+		Zone:     n.settings.Zone,
+		Epoch:    n.epoch,
+		Revision: n.keeper.Number(),
+		Leaving:  n.leaving.Load(),
+		Service:  instance.Service,
+		Instance: instance.ID,
+		Serving:  serving && n.isReady(),
+		Load:     n.target.Load(now),
+	}
+}
+
+// heard takes a beat of another node.
+func (n *Node) heard(b fleet.Beat) {
+	n.keeper.Heard(context.Background(), b.Addr, b.Revision)
+}
+
+// isReady reports whether this node takes work.
+func (n *Node) isReady() bool { return n.keeper.Table() != nil && n.joined.Load() }
+
+// Run works until the context ends and shuts down.
+func (n *Node) Run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n.start(duties)
+	n.logger.Info("node started", zap.String("name", n.settings.Name), zap.String("zone", n.settings.Zone), zap.String("service", n.settings.Service))
+	<-ctx.Done()
+	done := n.drain()
+	stop()
+	n.closeListeners()
+	n.links.Close()
+	n.wg.Wait()
+	n.logger.Info("node stopped", zap.Bool("all-answered", done))
+	return nil
+}
+
+func (n *Node) start(ctx context.Context) {
+	n.duty(func() { n.timers.Run(ctx) })
+	n.duty(func() { n.pool.Run(ctx) })
+	n.duty(func() { n.links.Serve(n.listeners.links) })
+	n.duty(func() { n.fleet.Run(ctx) })
+	n.duty(func() { n.keeper.Run(ctx) })
+	n.duty(func() { n.join(ctx) })
+	n.duty(func() { n.front.Serve(n.listeners.calls) })
+	n.serve(n.listeners.ready, http.HandlerFunc(n.answerReady))
+	n.serve(n.listeners.backend, n.platform.Registry(&Instances{node: n}))
+	if n.listeners.metrics != nil {
+		n.serve(n.listeners.metrics, n.meter.handler(n))
+	}
+}
+
+func (n *Node) duty(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+func (n *Node) serve(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(n.logger)}
+	n.servers = append(n.servers, s)
+	n.duty(func() { _ = s.Serve(l) }) // returns when the server is closed
+}
+
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if n.leaving.Load() || !n.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// listen opens the addresses. One that the process before it still holds is tried
+// again for a while.
+func (n *Node) listen() error {
+	s := &n.settings
+	for _, x := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&n.listeners.links, s.Links}, {&n.listeners.backend, s.Backend}, {&n.listeners.ready, s.Ready},
+		{&n.listeners.calls, s.Calls}, {&n.listeners.metrics, s.Metrics},
+	} {
+		if x.addr == "" {
+			continue
+		}
+		l, err := listenSoon(x.addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", x.addr)
+		}
+		*x.to = l
+	}
+	return nil
+}
+
+func listenSoon(addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: netio.Probes()}
+	var l net.Listener
+	var err error
+	for range listenTries {
+		if l, err = config.Listen(context.Background(), "tcp", addr); err == nil {
+			return l, nil
+		}
+		time.Sleep(listenRetry)
+	}
+	return nil, err
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.listeners.calls, n.listeners.ready, n.listeners.backend, n.listeners.links, n.listeners.metrics} {
+		if l != nil {
+			_ = l.Close() // nothing is taken any more
+		}
+	}
+	for _, s := range n.servers {
+		_ = s.Close() // the answers that matter are written
+	}
+}
--- a/internal/fake/logd/logd.go
+++ b/internal/fake/logd/logd.go
@@ -24,8 +24,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/logclient"
 	"github.com/cicadaseam/cicadaseam/internal/fake/logstore"
-	"github.com/cicadaseam/cicadaseam/internal/platform/logclient"
 )
 
 const maxRecord = 32 << 20
--- a/internal/link/method/method.go
+++ b/internal/link/method/method.go
@@ -36,13 +36,17 @@
 	Burn uint8 = 9
 	// Status asks how far the configuration of the peer is.
 	Status uint8 = 10
+	// Run runs a request of a mesh route at the backend server of the peer.
+	Run uint8 = 11
+	// Document asks for the configuration document in force.
+	Document uint8 = 12
 )
 
 // Names are the names of the requests for metrics and logs.
 var Names = map[uint8]string{
 	Call: "call", Resolve: "resolve", Join: "join", Zone: "zone",
 	Push: "push", Fetch: "fetch", Claim: "claim", Burn: "burn",
-	Status: "status",
+	Status: "status", Run: "run", Document: "document",
 }
 
 // Encode returns the payload of a message.
--- /dev/null
+++ b/internal/mesh/dispatch/dispatch.go
@@ -0,0 +1,411 @@
+// Package dispatch brings a request from the node that took it to a backend
+// server, and its answer back.
+//
+// # Model
+//
+// A request keeps the table with which it started. Its service comes from the
+// split of its route, its target from a Placer. Targets that cannot run it in
+// time refuse at once, which costs no backend server anything, so that a few are
+// asked before the caller is refused. After a request may have reached a backend
+// server, it is sent once more only if it is idempotent or the backend server
+// proved that it did not run, within the route's bound and the Budget.
+//
+// The deadline of a route's callers is learned: a request that comes with less
+// time left is one that was refused before, and its objective counts from the
+// time at which its caller first asked.
+//
+// # Invariants
+//
+//   - A non-idempotent request is sent again only on proof that it did not run.
+//   - 503 is answered only when no attempt ran or may still run.
+//   - A caller has its answer by the earlier of its deadline and the timeout of
+//     the route.
+//
+// # Usage
+//
+//	d := dispatch.New(options)
+//	reply := d.Serve(ctx, request)
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/call/quarantine"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/route"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
+)
+
+const (
+	// maxAsked bounds the targets that one request is offered to.
+	maxAsked = 5
+	// answerMargin is how much earlier than the caller's time a target must end.
+	answerMargin = 15 * time.Millisecond
+	// leastLeft is the least time for which a request is sent.
+	leastLeft = 10 * time.Millisecond
+	// onTimeShare is the part of the objective within which an answer is planned.
+	onTimeShare = 0.9
+	// lateShare is the part of the objective that a request may wait once it is
+	// late.
+	lateShare = 0.25
+	// usualDeadline is used for callers that tell none.
+	usualDeadline = 30 * time.Second
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Method string
+	Host   string
+	Path   string
+	// Target is the path with the query, as it was sent.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Arrived is when its first byte was read.
+	Arrived time.Time
+}
+
+// Reply is the answer to a caller.
+type Reply struct {
+	Status  int
+	Headers []cicadaseam.Header
+	Body    []byte
+}
+
+// Links sends calls to other nodes.
+type Links interface {
+	Run(ctx context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer
+}
+
+// Local is the target of this node.
+type Local interface {
+	Run(ctx context.Context, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer
+	Instance(now time.Time) (cicadaseam.Instance, bool)
+	Load(now time.Time) cicadaseam.MeshLoad
+}
+
+// Fleet is what the dispatcher needs of the other nodes.
+type Fleet interface {
+	Peers() []fleet.Peer
+}
+
+// Config is where the dispatcher finds its table; nil before there is one.
+type Config interface {
+	Table() *route.Table
+}
+
+// Dispatcher serves requests. It is safe for concurrent use.
+type Dispatcher struct {
+	Addr    string // of this node
+	Zone    string
+	Service string // of the backend server beside this node
+	Headers cicadaseam.MeshHeaders
+
+	config   Config
+	fleet    Fleet
+	local    Local
+	links    Links
+	logger   *zap.Logger
+	placer   *Placer
+	budget   *Budget
+	shares   *route.Shares
+	observer Observer
+	habits   *habits
+}
+
+// Observer hears of each reply, for metrics.
+type Observer interface {
+	Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration)
+}
+
+type noObserver struct{}
+
+func (noObserver) Replied(string, int, string, cicadaseam.Reason, time.Duration) {}
+
+// Option changes a new Dispatcher.
+type Option func(*Dispatcher)
+
+// WithLogger sets the logger of decisions.
+func WithLogger(l *zap.Logger) Option { return func(d *Dispatcher) { d.logger = l } }
+
+// WithObserver sets who hears of each reply.
+func WithObserver(o Observer) Option { return func(d *Dispatcher) { d.observer = o } }
+
+// WithBudget sets the budget of repeats.
+func WithBudget(b *Budget) Option { return func(d *Dispatcher) { d.budget = b } }
+
+// WithHeaders sets the names of headers.
+func WithHeaders(h cicadaseam.MeshHeaders) Option { return func(d *Dispatcher) { d.Headers = h } }
+
+// DefaultAllowance is used where the settings name none.
+var DefaultAllowance = Allowance{Ratio: 0.1, Slack: 20, Window: 10 * time.Second}
+
+// New returns a dispatcher for the node at addr, in a zone, beside a backend
+// server of a service.
+func New(addr, zone, service string, config Config, f Fleet, local Local, links Links, rng *rand.Rand, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		Addr:     addr,
+		Zone:     zone,
+		Service:  service,
+		Headers:  cicadaseam.DefaultMeshHeaders(),
+		config:   config,
+		fleet:    f,
+		local:    local,
+		links:    links,
+		logger:   zap.NewNop(),
+		placer:   NewPlacer(zone, rng),
+		budget:   NewBudget(time.Now(), DefaultAllowance),
+		shares:   route.NewShares(),
+		observer: noObserver{},
+		habits:   newHabits(),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	route *cicadaseam.MeshRoute
+	call  cicadaseam.MeshCall
+	// revision is the number of the table in use.
+	revision uint64
+	arrived  time.Time
+	deadline time.Time // when the caller has its answer
+	left     time.Duration
+	// onTime is when the objective ends, counted from the caller's first request.
+	onTime time.Time
+	// returning is set for a request that was refused before.
+	returning bool
+
+	asked   map[string]bool
+	offered int // backend servers that it reached
+	unknown bool
+	// failure is the answer of the last attempt that ran and failed.
+	failure   *cicadaseam.MeshAnswer
+	refusals  int
+	room      time.Duration // until some target expects to have room
+	lastCause cicadaseam.Reason
+}
+
+// Serve answers a request.
+func (d *Dispatcher) Serve(ctx context.Context, r *Request) *Reply {
+	table := d.config.Table()
+	if table == nil {
+		return d.refuse(nil, cicadaseam.ReasonNotReady, notReadyRetry)
+	}
+	rt := table.Find(r.Host, r.Path)
+	if rt == nil {
+		d.logger.Info("no route", zap.String("request", r.Header.Get(d.Headers.Attempt)), zap.String("host", r.Host), zap.Uint64("revision", table.Number))
+		return &Reply{Status: http.StatusNotFound}
+	}
+	x := d.prepare(r, rt, table.Number)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	reply, outcome, reason := d.perform(ctx, x)
+	d.observer.Replied(x.call.Service, rt.Priority, outcome, reason, time.Since(x.arrived))
+	return reply
+}
+
+// prepare finds all that a request needs.
+func (d *Dispatcher) prepare(r *Request, rt *cicadaseam.MeshRoute, revision uint64) *exchange {
+	now := time.Now()
+	left := callerTime(r.Header.Get(d.Headers.Deadline), rt.Timeout)
+	spent := d.habits.spent(rt.Name, left)
+	x := &exchange{
+		route:     rt,
+		revision:  revision,
+		arrived:   r.Arrived,
+		left:      left,
+		deadline:  r.Arrived.Add(min(left, rt.Timeout)),
+		onTime:    r.Arrived.Add(rt.Objective - spent),
+		returning: spent > returningAfter,
+		asked:     map[string]bool{},
+	}
+	x.call = cicadaseam.MeshCall{
+		ID:          r.Header.Get(d.Headers.Attempt),
+		Method:      r.Method,
+		Host:        r.Host,
+		Target:      r.Target,
+		Body:        r.Body,
+		Service:     d.shares.Next(rt),
+		Route:       rt.Name,
+		Objective:   rt.Objective,
+		Priority:    rt.Priority,
+		Idempotent:  rt.Idempotent,
+		Headers:     d.forwarded(r.Header),
+		Fingerprint: quarantine.Fingerprint(d.Service, r.Method, r.Target, r.Body),
+	}
+	d.budget.Request(now, x.call.Service)
+	return x
+}
+
+// forwarded returns the headers that go on to the backend server. What the system
+// sets itself is never taken from a caller.
+func (d *Dispatcher) forwarded(h http.Header) []cicadaseam.Header {
+	h.Del(d.Headers.Attempt)
+	h.Del(d.Headers.Deadline)
+	h.Del(d.Headers.Expected)
+	h.Del(d.Headers.Caller)
+	h.Del("Expect") // the body is whole here; nothing has to be asked first
+	out := upstream.EndToEnd(h)
+	return append(out, cicadaseam.Header{Name: d.Headers.Caller, Value: d.Service})
+}
+
+// callerTime returns how long a caller waits.
+func callerTime(v string, timeout time.Duration) time.Duration {
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 {
+		return max(usualDeadline, timeout)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// perform asks targets until the request is settled.
+func (d *Dispatcher) perform(ctx context.Context, x *exchange) (reply *Reply, outcome string, reason cicadaseam.Reason) {
+	for len(x.asked) < maxAsked {
+		now := time.Now()
+		if x.deadline.Sub(now) < leastLeft {
+			x.lastCause = cicadaseam.ReasonDeadline
+			break
+		}
+		choice, ok := d.placer.Pick(now, x.route.Objective, d.candidates(now, x.call.Service), x.asked)
+		if !ok {
+			break
+		}
+		x.asked[choice.Candidate.Addr] = true
+		repeat := x.offered > 0
+		if repeat && !d.budget.Take(now, x.call.Service, len(d.fleet.Peers())+1) {
+			x.lastCause = cicadaseam.ReasonBudget
+			break
+		}
+		answer := d.send(ctx, x, &choice)
+		d.placer.Ended(time.Now(), choice.Candidate.Addr, answer)
+		if repeat && !answer.Offered && answer.Outcome == cicadaseam.OutcomeNotRun {
+			d.budget.Return(now, x.call.Service)
+		}
+		if !d.again(ctx, x, &choice, answer) {
+			return d.settle(x, answer)
+		}
+	}
+	return d.giveUp(x)
+}
+
+func (d *Dispatcher) candidates(now time.Time, service string) []Candidate {
+	var self *Candidate
+	if instance, ok := d.local.Instance(now); ok && instance.Service == service {
+		self = &Candidate{Addr: d.Addr, Zone: d.Zone, Instance: instance.ID, Local: true, Load: d.local.Load(now), Heard: now}
+	}
+	return candidates(service, self, d.Service, d.fleet.Peers())
+}
+
+// send offers a request to one target.
+func (d *Dispatcher) send(ctx context.Context, x *exchange, choice *Choice) *cicadaseam.MeshAnswer {
+	now := time.Now()
+	call := x.call
+	call.Budget = x.deadline.Sub(now) - answerMargin
+	call.Wait, call.Late = allowedWait(now, x, choice.Work)
+	call.Returning = x.returning
+	if choice.Candidate.Local {
+		return d.local.Run(ctx, &call)
+	}
+	return d.links.Run(ctx, choice.Candidate.Addr, &call)
+}
+
+// allowedWait returns how long a request may wait for a slot. While it can be
+// answered on time it may wait for that; once it is late it takes what is free
+// soon, behind those that are on time.
+func allowedWait(now time.Time, x *exchange, work time.Duration) (wait time.Duration, late bool) {
+	rest := x.onTime.Sub(now)
+	wait = time.Duration(onTimeShare*float64(rest)) - work
+	if wait > 0 {
+		return wait, false
+	}
+	return time.Duration(lateShare * float64(x.route.Objective)), true
+}
+
+// again decides whether an answer leaves the request open for another target.
+func (d *Dispatcher) again(ctx context.Context, x *exchange, choice *Choice, a *cicadaseam.MeshAnswer) bool {
+	if a.Offered {
+		x.offered++
+	}
+	x.lastCause = a.Reason
+	switch a.Outcome {
+	case cicadaseam.OutcomeRan:
+		if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
+			return false
+		}
+		x.failure = a
+	case cicadaseam.OutcomeNotRun:
+		x.refusals++
+		if a.Wait > 0 && (x.room == 0 || a.Wait < x.room) {
+			x.room = a.Wait
+		}
+	default:
+		x.unknown = true
+		if !x.route.Idempotent {
+			return false
+		}
+	}
+	more := ctx.Err() == nil && x.offered < max(x.route.MaxTargets, 1)
+	d.logger.Info("attempt failed", zap.String("request", x.call.ID), zap.String("target", choice.Candidate.Node),
+		zap.Stringer("outcome", a.Outcome), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
+		zap.Duration("queued", a.Queued), zap.Duration("ran", a.Ran), zap.Duration("room", a.Wait), zap.Bool("again", more),
+		zap.Duration("age", choice.Candidate.age(time.Now())), zap.Uint64("revision", x.revision))
+	return more
+}
+
+func (c *Candidate) age(now time.Time) time.Duration { return now.Sub(c.Heard) }
+
+// settle turns the last answer into a reply.
+func (d *Dispatcher) settle(x *exchange, a *cicadaseam.MeshAnswer) (*Reply, string, cicadaseam.Reason) {
+	if a.Outcome == cicadaseam.OutcomeRan {
+		return relay(a), a.Outcome.String(), cicadaseam.ReasonNone
+	}
+	return d.giveUp(x)
+}
+
+// relay passes an answer of a backend server on.
+func relay(a *cicadaseam.MeshAnswer) *Reply {
+	return &Reply{Status: a.Status, Headers: a.Headers, Body: a.Body}
+}
+
+// giveUp answers a request that no backend server answered.
+func (d *Dispatcher) giveUp(x *exchange) (*Reply, string, cicadaseam.Reason) {
+	reason := x.lastCause
+	if reason == cicadaseam.ReasonNone {
+		reason = cicadaseam.ReasonNoTarget
+	}
+	if x.failure != nil {
+		return relay(x.failure), cicadaseam.OutcomeRan.String(), reason
+	}
+	if !x.unknown {
+		return d.refuse(x, reason, d.returnAfter(x)), cicadaseam.OutcomeNotRun.String(), reason
+	}
+	status := http.StatusBadGateway
+	if reason == cicadaseam.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	d.logger.Info("request lost", zap.String("request", x.call.ID), zap.String("service", x.call.Service),
+		zap.String("reason", string(reason)), zap.Int("status", status), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
+	return &Reply{Status: status}, cicadaseam.OutcomeUnknown.String(), reason
+}
+
+// refuse answers that a request did not run and when to come back.
+func (d *Dispatcher) refuse(x *exchange, reason cicadaseam.Reason, after time.Duration) *Reply {
+	if x != nil {
+		d.logger.Info("request refused", zap.String("request", x.call.ID), zap.String("service", x.call.Service),
+			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(x.asked)),
+			zap.Bool("returning", x.returning), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
+	}
+	value := strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	return &Reply{Status: http.StatusServiceUnavailable, Headers: []cicadaseam.Header{{Name: "Retry-After", Value: value}}}
+}
--- /dev/null
+++ b/internal/mesh/dispatch/place.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
+)
+
+// Costs of a target, in shares of the objective of a request.
+const (
+	// farCost is what an answer from another zone costs by its bytes.
+	farCost = 0.08
+	// failCost is the cost of a target at which every request fails.
+	failCost = 2.0
+	// busyCost spreads requests over targets that have room.
+	busyCost = 0.10
+	// noise keeps nodes with the same news from choosing the same target.
+	noise = 0.03
+	// usualPace is the pace of a target that told none, in thousandths.
+	usualPace = 330
+	thousand  = 1000
+)
+
+const (
+	// avoidFirst and avoidLimit bound the time for which a target is left out
+	// after a link to it failed.
+	avoidFirst = 500 * time.Millisecond
+	avoidLimit = 4 * time.Second
+)
+
+// Candidate is a node that may run a request.
+type Candidate struct {
+	Addr     string
+	Node     string
+	Zone     string
+	Instance string
+	Local    bool
+	Load     cicadaseam.MeshLoad
+	// Heard is when the load was told.
+	Heard time.Time
+}
+
+// track is what this node knows of a target beside its beats.
+type track struct {
+	load     cicadaseam.MeshLoad
+	loadAt   time.Time
+	inFlight int
+	// sent counts the requests sent since the load was told.
+	sent     int
+	failures int
+	avoid    time.Time
+	instance string
+}
+
+// Placer chooses the target of a request. It is a plain state machine behind a
+// lock and reads no clock.
+type Placer struct {
+	mu     sync.Mutex
+	zone   string
+	rng    *rand.Rand
+	tracks map[string]*track
+}
+
+// NewPlacer returns a placer for a node in a zone.
+func NewPlacer(zone string, rng *rand.Rand) *Placer {
+	return &Placer{zone: zone, rng: rng, tracks: map[string]*track{}}
+}
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	Candidate Candidate
+	// Work is how long the target is expected to run the request.
+	Work time.Duration
+	// Wait is how long the request is expected to wait there.
+	Wait time.Duration
+}
+
+// Pick returns the cheapest candidate that was not tried, and counts a request as
+// sent to it.
+func (p *Placer) Pick(now time.Time, objective time.Duration, candidates []Candidate, tried map[string]bool) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := -1
+	var choice Choice
+	lowest := 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if tried[c.Addr] {
+			continue
+		}
+		t := p.track(c)
+		if now.Before(t.avoid) {
+			continue
+		}
+		cost, work, wait := p.cost(t, c, objective)
+		if best < 0 || cost < lowest {
+			best, lowest = i, cost
+			choice = Choice{Candidate: *c, Work: work, Wait: wait}
+		}
+	}
+	if best < 0 {
+		return choice, false
+	}
+	t := p.tracks[choice.Candidate.Addr]
+	t.inFlight++
+	t.sent++
+	return choice, true
+}
+
+// track returns what is known of a candidate; newer news from its beat are taken.
+func (p *Placer) track(c *Candidate) *track {
+	t := p.tracks[c.Addr]
+	if t == nil || t.instance != c.Instance {
+		in := 0
+		if t != nil {
+			in = t.inFlight
+		}
+		t = &track{instance: c.Instance, inFlight: in}
+		p.tracks[c.Addr] = t
+	}
+	if c.Heard.After(t.loadAt) {
+		t.take(c.Heard, c.Load)
+	}
+	return t
+}
+
+func (t *track) take(now time.Time, l cicadaseam.MeshLoad) {
+	t.load = l
+	t.loadAt = now
+	t.sent = 0
+}
+
+// cost estimates what it costs to send a request to a target now.
+func (p *Placer) cost(t *track, c *Candidate, objective time.Duration) (cost float64, work, wait time.Duration) {
+	pace := t.load.Pace
+	if pace == 0 {
+		pace = usualPace
+	}
+	slots := max(t.load.Slots, 1)
+	work = objective * time.Duration(pace) / thousand
+	occupied := t.load.Running + t.load.Queued + t.sent
+	if occupied >= slots {
+		wait = work * time.Duration(occupied-slots+1) / time.Duration(slots)
+	}
+	cost = float64(work+wait) / float64(max(objective, time.Millisecond))
+	use := float64(occupied) / float64(slots)
+	cost += busyCost * min(use*use, 1)
+	cost += failCost * float64(t.load.Failing) / thousand
+	if c.Zone != p.zone {
+		cost += farCost
+	}
+	return cost + noise*p.rng.Float64(), work, wait
+}
+
+// Ended takes what came of a request at a target.
+func (p *Placer) Ended(now time.Time, addr string, answer *cicadaseam.MeshAnswer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tracks[addr]
+	if t == nil {
+		return
+	}
+	t.inFlight = max(t.inFlight-1, 0)
+	if answer.Reason == cicadaseam.ReasonLink {
+		t.failures++
+		t.avoid = now.Add(min(avoidFirst<<min(t.failures-1, 8), avoidLimit))
+		return
+	}
+	t.failures = 0
+	if answer.Load.Slots > 0 {
+		t.take(now, answer.Load)
+	}
+	if answer.Reason == cicadaseam.ReasonBackend && !answer.Offered {
+		t.avoid = now.Add(avoidFirst / 2)
+	}
+}
+
+// candidates returns the nodes whose backend server runs a service.
+func candidates(service string, self *Candidate, selfService string, peers []fleet.Peer) []Candidate {
+	var out []Candidate
+	if self != nil && selfService == service {
+		out = append(out, *self)
+	}
+	for i := range peers {
+		b := &peers[i].Beat
+		if !b.Serving || b.Leaving || b.Service != service {
+			continue
+		}
+		out = append(out, Candidate{Addr: b.Addr, Node: b.Node, Zone: b.Zone, Instance: b.Instance, Load: b.Load, Heard: peers[i].Heard})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/fleet/fleet.go
@@ -0,0 +1,385 @@
+// Package fleet knows the other nodes: where they are, what they run and how
+// loaded they are.
+//
+// # Model
+//
+// Each node sends a Beat to every other one at a period that grows with the
+// fleet, and at once when its own state changes. A node that was not heard for a
+// few periods is left out of the choice of targets, and so is one to which a link
+// just failed, until a later beat of it arrives. Addresses come from a directory
+// and from the beats of nodes that were not known; an address that went silent is
+// still sent beats for a while, so that a process that starts there again learns
+// of the fleet without the directory.
+//
+// Load travels on beats and on every answer; nothing rests on it.
+//
+// # Usage
+//
+//	f := fleet.New(self, conn, timers, fleet.WithBeat(sample))
+//	go f.Run(ctx)
+//	f.Learn(addrs)
+//	for _, p := range f.Peers() { ... }
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
+	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+)
+
+// Format is the first byte of each datagram.
+const Format = 0x31
+
+const (
+	// DefaultPeriod is the time between two beats in a small fleet.
+	DefaultPeriod = 500 * time.Millisecond
+	// smallFleet is the number of nodes from which on the period grows.
+	smallFleet = 24
+	// maxStretch bounds how many times longer the period becomes.
+	maxStretch = 6
+	// missedBeats is the number of periods of silence that make a node suspect.
+	missedBeats = 3
+	// forgetAfter is how long a silent address is still sent beats.
+	forgetAfter = time.Minute
+	// silentShare is the share of beats that a silent address still gets.
+	silentShare = 4
+	maxDatagram = 4 << 10
+	maxPeers    = 4096
+)
+
+// Beat is what a node tells about itself.
+type Beat struct {
+	Node string
+	Addr string
+	Zone string
+	// Epoch tells one process from the next one at the same address.
+	Epoch    int64
+	Sequence uint64
+	// Revision is the number of the configuration in force.
+	Revision uint64
+	// Leaving is set by a node that is about to end.
+	Leaving  bool
+	Service  string
+	Instance string
+	// Serving is set while the backend server takes requests.
+	Serving bool
+	Load    cicadaseam.MeshLoad
+	// Marks are requests that crashed backend servers.
+	Marks []cicadaseam.Mark
+}
+
+// Peer is another node as this one sees it. It is immutable.
+type Peer struct {
+	Beat  Beat
+	Heard time.Time
+	First time.Time
+}
+
+// entry is what is kept about one address.
+type entry struct {
+	peer    Peer
+	known   bool // a beat was heard
+	added   time.Time
+	skipped int
+}
+
+// Fleet is the view of one node. It is safe for concurrent use.
+type Fleet struct {
+	self   string
+	conn   cicadaseam.PacketConn
+	timers *timer.Service
+	logger *zap.Logger
+	period time.Duration
+	sample func(now time.Time) Beat
+	onBeat func(Beat)
+	now    func() time.Time
+
+	mu       sync.Mutex
+	entries  map[string]*entry
+	sequence uint64
+	peers    atomic.Pointer[[]Peer]
+	soon     chan struct{}
+	counts   Counters
+}
+
+// Counters count the traffic of beats.
+type Counters struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+	Bad      atomic.Int64
+}
+
+// Option changes a new Fleet.
+type Option func(*Fleet)
+
+// WithPeriod sets the time between two beats in a small fleet.
+func WithPeriod(d time.Duration) Option { return func(f *Fleet) { f.period = d } }
+
+// WithLogger sets the logger of decisions.
+func WithLogger(l *zap.Logger) Option { return func(f *Fleet) { f.logger = l } }
+
+// WithOnBeat sets a function that hears each beat that is news.
+func WithOnBeat(fn func(Beat)) Option { return func(f *Fleet) { f.onBeat = fn } }
+
+// New returns a fleet of one node, which listens at self and tells of itself what
+// sample returns.
+func New(self string, conn cicadaseam.PacketConn, timers *timer.Service, sample func(now time.Time) Beat, opts ...Option) *Fleet {
+	f := &Fleet{
+		self:    self,
+		conn:    conn,
+		timers:  timers,
+		logger:  zap.NewNop(),
+		period:  DefaultPeriod,
+		sample:  sample,
+		onBeat:  func(Beat) {},
+		now:     time.Now,
+		entries: map[string]*entry{},
+		soon:    make(chan struct{}, 1),
+	}
+	f.peers.Store(&[]Peer{})
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Counters returns the counters.
+func (f *Fleet) Counters() *Counters { return &f.counts }
+
+// Peers returns the other nodes that are not silent.
+func (f *Fleet) Peers() []Peer { return *f.peers.Load() }
+
+// Period returns the current time between two beats.
+func (f *Fleet) Period() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.periodLocked()
+}
+
+func (f *Fleet) periodLocked() time.Duration {
+	stretch := min(max(float64(len(f.entries))/smallFleet, 1), maxStretch)
+	return time.Duration(stretch * float64(f.period))
+}
+
+// Size returns how many nodes live, this one included.
+func (f *Fleet) Size() int { return len(f.Peers()) + 1 }
+
+// Learn adds addresses of nodes.
+func (f *Fleet) Learn(addrs []string) {
+	f.mu.Lock()
+	now := f.now()
+	fresh := false
+	for _, a := range addrs {
+		if a != f.self && a != "" && f.entries[a] == nil && len(f.entries) < maxPeers {
+			f.entries[a] = &entry{added: now}
+			fresh = true
+		}
+	}
+	f.mu.Unlock()
+	if fresh {
+		f.Tell()
+	}
+}
+
+// Tell sends a beat to all nodes soon, because the own state changed.
+func (f *Fleet) Tell() {
+	select {
+	case f.soon <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives beats until the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go f.receive(done)
+	tick := f.timers.Subscribe(f.period)
+	defer tick.Stop()
+	last := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			_ = f.conn.Close() // ends the receiver
+			<-done
+			return
+		case now := <-tick.C:
+			f.expire(now)
+			if now.Sub(last) >= f.Period()-f.period/2 {
+				last = now
+				f.send(now)
+			}
+		case <-f.soon:
+			f.send(f.now())
+		}
+	}
+}
+
+// send sends a beat to every address.
+func (f *Fleet) send(now time.Time) {
+	beat := f.sample(now)
+	f.mu.Lock()
+	f.sequence++
+	beat.Sequence = f.sequence
+	addrs := f.due(now)
+	f.mu.Unlock()
+	body, err := pack.Marshal(&beat)
+	if err != nil {
+		f.logger.Error("beat not encoded", zap.Error(err))
+		return
+	}
+	data := append([]byte{Format}, body...)
+	for _, a := range addrs {
+		f.counts.Sent.Add(1)
+		_ = f.conn.Send(a, data) // a lost beat is followed by others
+	}
+}
+
+// due returns the addresses that get a beat now; silent ones get a part.
+func (f *Fleet) due(now time.Time) []string {
+	addrs := make([]string, 0, len(f.entries))
+	silence := f.silence()
+	for a, e := range f.entries {
+		if now.Sub(e.heard()) > 2*silence {
+			e.skipped++
+			if e.skipped%silentShare != 0 {
+				continue
+			}
+		}
+		addrs = append(addrs, a)
+	}
+	return addrs
+}
+
+func (e *entry) heard() time.Time {
+	if e.known {
+		return e.peer.Heard
+	}
+	return e.added
+}
+
+func (f *Fleet) silence() time.Duration { return missedBeats * f.periodLocked() }
+
+func (f *Fleet) receive(done chan<- struct{}) {
+	defer close(done)
+	buf := make([]byte, maxDatagram)
+	for {
+		n, err := f.conn.Receive(buf)
+		if err != nil {
+			return
+		}
+		beat, ok := decode(buf[:n])
+		if !ok {
+			f.counts.Bad.Add(1)
+			continue
+		}
+		f.counts.Received.Add(1)
+		f.Take(f.now(), beat)
+	}
+}
+
+func decode(data []byte) (Beat, bool) {
+	var b Beat
+	if len(data) < 2 || data[0] != Format {
+		return b, false
+	}
+	if err := pack.Unmarshal(data[1:], &b); err != nil {
+		return b, false
+	}
+	return b, b.Addr != "" && b.Node != ""
+}
+
+// Take takes a beat of another node.
+func (f *Fleet) Take(now time.Time, b Beat) {
+	if b.Addr == f.self {
+		return
+	}
+	f.mu.Lock()
+	e := f.entries[b.Addr]
+	if e == nil {
+		if len(f.entries) >= maxPeers {
+			f.mu.Unlock()
+			return
+		}
+		e = &entry{added: now}
+		f.entries[b.Addr] = e
+	}
+	if !f.fresh(now, e, b) {
+		f.mu.Unlock()
+		return
+	}
+	met := !e.known || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
+	if met {
+		e.peer.First = now
+	}
+	changed := met || shape(e.peer.Beat) != shape(b)
+	e.known = true
+	e.peer.Beat = b
+	e.peer.Heard = now
+	f.publish(now)
+	f.mu.Unlock()
+	if changed {
+		f.logger.Info("peer changed", zap.String("peer", b.Node), zap.Bool("met", met), zap.String("service", b.Service),
+			zap.Bool("serving", b.Serving), zap.Bool("leaving", b.Leaving), zap.Uint64("revision", b.Revision))
+	}
+	if met {
+		f.Tell()
+	}
+	f.onBeat(b)
+}
+
+// shape is what matters of a beat beside its load.
+type shapeOf struct {
+	service, instance string
+	serving, leaving  bool
+}
+
+func shape(b Beat) shapeOf { return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving} }
+
+// fresh reports whether a beat is later than the last one of its address. A
+// process that started again is told by its epoch; clocks may step, so that a
+// lower epoch is believed once the old one is silent.
+func (f *Fleet) fresh(now time.Time, e *entry, b Beat) bool {
+	if !e.known {
+		return true
+	}
+	old := e.peer.Beat
+	if b.Epoch == old.Epoch {
+		return b.Sequence > old.Sequence
+	}
+	return b.Epoch > old.Epoch || now.Sub(e.peer.Heard) > f.period/2
+}
+
+// expire forgets addresses that were silent for long and leaves silent nodes out.
+func (f *Fleet) expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a, e := range f.entries {
+		if now.Sub(e.heard()) > forgetAfter {
+			delete(f.entries, a)
+		}
+	}
+	f.publish(now)
+}
+
+// publish swaps in the nodes that are not silent. The lock is held.
+func (f *Fleet) publish(now time.Time) {
+	silence := f.silence()
+	old := f.Peers()
+	out := make([]Peer, 0, len(old)+1)
+	for _, e := range f.entries {
+		if e.known && now.Sub(e.peer.Heard) <= silence {
+			out = append(out, e.peer)
+		}
+	}
+	if len(out) < len(old) {
+		f.logger.Info("peers lost", zap.Int("were", len(old)), zap.Int("are", len(out)), zap.Duration("silence", silence))
+	}
+	f.peers.Store(&out)
+}
--- /dev/null
+++ b/internal/mesh/upstream/headers.go
@@ -0,0 +1,37 @@
+package upstream
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// hopByHop are the headers of one connection, which are not passed on.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true,
+	"Content-Length": true,
+}
+
+// EndToEnd returns the headers that are passed on. Those named in Connection
+// belong to the connection too.
+func EndToEnd(h http.Header) []cicadaseam.Header {
+	named := map[string]bool{}
+	for _, list := range h.Values("Connection") {
+		for _, token := range strings.Split(list, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	out := make([]cicadaseam.Header, 0, len(h))
+	for name, values := range h {
+		if hopByHop[name] || named[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, cicadaseam.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/mesh.go
@@ -0,0 +1,195 @@
+package cicadaseam
+
+import (
+	"context"
+	"time"
+)
+
+// Revision is one whole, numbered version of the routing configuration. It is
+// immutable once it is applied.
+type Revision struct {
+	Number uint64
+	Routes []MeshRoute
+	Limits Limits
+}
+
+// MeshRoute selects requests by host and path prefix and says how they are
+// treated.
+type MeshRoute struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer is on time.
+	Objective time.Duration
+	// Priority is the rank of the requests; 0 is the highest.
+	Priority int
+	// MaxTargets bounds the backend servers that one request may be sent to.
+	MaxTargets int
+	// Shares are the services that run the requests, and their proportions.
+	Shares []Share
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Limits bound what a caller may send and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Document is the encoded form of a revision and the position after it in the
+// source, from which later ones are awaited.
+type Document struct {
+	Data []byte
+	Next Offset
+}
+
+// RevisionSource is where whole revisions come from. The source keeps the newest
+// one for good. Implementations are safe for concurrent use.
+type RevisionSource interface {
+	// Newest returns the newest document. Data is nil when there is none yet.
+	Newest(ctx context.Context) (Document, error)
+	// After waits up to wait for a document at position from or later. Data is nil
+	// when none came. It returns a *TrimmedError when positions were lost, after
+	// which Newest tells what holds.
+	After(ctx context.Context, from Offset, wait time.Duration) (Document, error)
+	// Decode returns the revision in a document, or an error that names its fault.
+	Decode(data []byte) (*Revision, error)
+}
+
+// Listing is one record of a Directory.
+type Listing struct {
+	Key   string
+	Value []byte
+}
+
+// Directory keeps the newest value of each key for good. Nodes find each other
+// there. Implementations are safe for concurrent use.
+type Directory interface {
+	Put(ctx context.Context, key string, value []byte) error
+	List(ctx context.Context) ([]Listing, error)
+}
+
+// Instance is one start of a backend server, as it announces itself.
+type Instance struct {
+	ID      string       `msgpack:"i"`
+	Service string       `msgpack:"s"`
+	Addr    string       `msgpack:"a"`
+	Slots   int          `msgpack:"n"`
+	State   BackendState `msgpack:"t"`
+	// Cold is how long the backend server stays slow after its start.
+	Cold time.Duration `msgpack:"c"`
+	// Sequence rises with each announcement of one start.
+	Sequence int64 `msgpack:"q"`
+	// Born is the Unix millisecond of the start, or 0 when it is not told.
+	Born int64 `msgpack:"b"`
+}
+
+// Newer reports whether x was announced after o by the same backend server.
+func (x *Instance) Newer(o *Instance) bool {
+	if x.Born != o.Born {
+		return x.Born > o.Born
+	}
+	return x.Sequence > o.Sequence
+}
+
+// MeshHeaders names the header fields that callers, nodes and backend servers
+// share. The names belong to the deployment.
+type MeshHeaders struct {
+	// Attempt identifies one request of a caller; backend servers echo it.
+	Attempt string
+	// Deadline is how long the caller waits, in milliseconds.
+	Deadline string
+	// Expected names the instance that alone may run the request.
+	Expected string
+	// Caller is the service on whose machine the request began.
+	Caller string
+	// Seal marks the answers of backend servers.
+	Seal string
+	// Rejected marks answers to requests that the backend server did not run.
+	Rejected string
+}
+
+// DefaultMeshHeaders are the names where a deployment sets none.
+func DefaultMeshHeaders() MeshHeaders {
+	return MeshHeaders{
+		Attempt:  "Cicadaseam-Request-Id",
+		Deadline: "Cicadaseam-Timeout-Ms",
+		Expected: "Cicadaseam-Expected-Server",
+		Caller:   "Cicadaseam-Caller",
+		Seal:     "Cicadaseam-Seal",
+		Rejected: "Cicadaseam-Rejected",
+	}
+}
+
+// MeshCall is a request on its way from the node that took it to the node that
+// runs it.
+type MeshCall struct {
+	ID      string   `msgpack:"i"`
+	Method  string   `msgpack:"m"`
+	Host    string   `msgpack:"o"`
+	Target  string   `msgpack:"u"`
+	Headers []Header `msgpack:"h"`
+	Body    []byte   `msgpack:"b"`
+	// Service runs the request; another one at the target refuses it.
+	Service string `msgpack:"s"`
+	Route   string `msgpack:"r"`
+	// Budget is the time left until the answer is of no use.
+	Budget time.Duration `msgpack:"t"`
+	// Wait is the longest time that the request may wait for a slot.
+	Wait time.Duration `msgpack:"w"`
+	// Objective is the route's objective, by which targets judge their pace.
+	Objective time.Duration `msgpack:"j"`
+	Priority  int           `msgpack:"p"`
+	// Nested calls are made by a backend server for a request that it runs.
+	Nested bool `msgpack:"n"`
+	// Late requests can no longer be answered on time.
+	Late bool `msgpack:"l"`
+	// Returning requests were refused before.
+	Returning   bool   `msgpack:"e"`
+	Idempotent  bool   `msgpack:"q"`
+	Fingerprint uint64 `msgpack:"f"`
+}
+
+// MeshAnswer is what came of a MeshCall. Body is complete.
+type MeshAnswer struct {
+	Outcome Outcome  `msgpack:"o"`
+	Status  int      `msgpack:"s"`
+	Headers []Header `msgpack:"h"`
+	Body    []byte   `msgpack:"b"`
+	Reason  Reason   `msgpack:"r"`
+	// Offered is set when the request reached the backend server, also if that
+	// rejected it.
+	Offered bool `msgpack:"x"`
+	// Wait is the time after which the target expects to have room, with a refusal.
+	Wait time.Duration `msgpack:"w"`
+	// Queued and Ran are the times spent waiting for a slot and at the backend.
+	Queued time.Duration `msgpack:"q"`
+	Ran    time.Duration `msgpack:"d"`
+	Load   MeshLoad      `msgpack:"l"`
+}
+
+// MeshLoad is what a target tells about itself.
+type MeshLoad struct {
+	Running int `msgpack:"r"`
+	Queued  int `msgpack:"q"`
+	Slots   int `msgpack:"s"`
+	// Wait is how long a request that comes now would wait for a slot.
+	Wait time.Duration `msgpack:"w"`
+	// Pace is the mean share of the objective that the backend server takes, in
+	// thousandths.
+	Pace int `msgpack:"p"`
+	// Failing is the share of recent requests that failed, in thousandths.
+	Failing int `msgpack:"f"`
+}
