--- a/internal/command/cli/sidecar.go
+++ b/internal/command/cli/sidecar.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -43,5 +46,25 @@
 	if err != nil {
 		return err
 	}
+	go reloads(ctx, n, file, logger)
 	return n.Run(ctx)
 }
+
+// reloads takes the settings anew with each SIGHUP. Bad ones change nothing.
+func reloads(ctx context.Context, n *sidecar.Node, file string, logger *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		settings, err := sidecar.Load(file)
+		if err != nil {
+			logger.Error("settings not reloaded, the old ones hold", zap.Error(err))
+			continue
+		}
+		n.Reload(*settings)
+	}
+}
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -47,7 +47,7 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	// listenBacklog is how long New waits for an address that is still in use.
+	// An address that is still in use is tried again, so often and after so long.
 	listenRetry = 50 * time.Millisecond
 	listenTries = 40
 )
@@ -120,12 +120,11 @@
 	n.pool = mux.NewPool(netio.New(), n.timers)
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithChanged(n.instanceChanged))
-	n.keeper = revision.New(n.platform.Source, n.fetchDocument, revision.WithLogger(n.logger), revision.WithChanged(n.tell))
+	n.keeper = revision.New(n.platform.Source, n.fetchDocument, revision.WithLogger(n.logger), revision.WithChanged(n.tell), revision.WithReader(n.isReader))
 	n.fleet = fleet.New(s.Links, conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
-	allowance := dispatch.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 	n.dispatch = dispatch.New(s.Links, s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter),
-		dispatch.WithBudget(dispatch.NewBudget(now, allowance)))
+		dispatch.WithBudget(dispatch.NewBudget(now, allowance(s))))
 	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithLogger(n.logger))
 }
 
@@ -153,6 +152,7 @@
 		Epoch:    n.epoch,
 		Revision: n.keeper.Number(),
 		Leaving:  n.leaving.Load(),
+		Blind:    n.keeper.Blind(),
 		Service:  instance.Service,
 		Instance: instance.ID,
 		Serving:  serving && n.isReady(),
@@ -162,12 +162,35 @@
 
 // heard takes a beat of another node.
 func (n *Node) heard(b fleet.Beat) {
-	n.keeper.Heard(context.Background(), b.Addr, b.Revision)
+	n.keeper.Heard(context.Background(), b.Addr, b.Revision, b.Zone == n.settings.Zone)
+}
+
+// readerDuty is the key of the nodes that follow the configuration source.
+const readerDuty = "reader"
+
+// isReader reports whether this node follows the configuration source.
+func (n *Node) isReader() bool {
+	return fleet.First(readerDuty, n.settings.Name, n.settings.Zone, n.fleet.Peers())
 }
 
 // isReady reports whether this node takes work.
 func (n *Node) isReady() bool { return n.keeper.Table() != nil && n.joined.Load() }
 
+// Reload takes new settings. Those of addresses and names hold from the next start
+// on; a change of them is logged.
+func (n *Node) Reload(s Settings) {
+	old := n.settings
+	n.dispatch.SetAllowance(allowance(&s))
+	n.target.SetLease(s.Lease)
+	old.RetryRatio, old.RetrySlack, old.RetryWindow = s.RetryRatio, s.RetrySlack, s.RetryWindow
+	old.Lease, old.Heartbeat, old.LogLevel = s.Lease, s.Heartbeat, s.LogLevel
+	n.logger.Info("settings reloaded", zap.Float64("retry-ratio", s.RetryRatio), zap.Duration("lease", s.Lease), zap.Bool("restart-needed", old != s))
+}
+
+func allowance(s *Settings) dispatch.Allowance {
+	return dispatch.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
+}
+
 // Run works until the context ends and shuts down.
 func (n *Node) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/mesh/dispatch/budget.go
+++ b/internal/mesh/dispatch/budget.go
@@ -32,10 +32,10 @@
 // the requests that it took itself and its part of the slack, so that the sum over
 // the fleet stays within the allowance without an exchange between nodes.
 type Budget struct {
-	allow Allowance
 	start time.Time
 
 	mu       sync.Mutex
+	allow    Allowance
 	services map[string]*[parts]part
 }
 
@@ -45,6 +45,17 @@
 	return &Budget{allow: allow, start: start, services: map[string]*[parts]part{}}
 }
 
+// SetAllowance changes what the fleet may repeat. Another window starts the counts
+// anew.
+func (b *Budget) SetAllowance(allow Allowance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if allow.Window != b.allow.Window {
+		b.services = map[string]*[parts]part{}
+	}
+	b.allow = allow
+}
+
 // Request counts a request of a caller for a service.
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -172,6 +172,9 @@
 	return d
 }
 
+// SetAllowance changes what the fleet may repeat.
+func (d *Dispatcher) SetAllowance(a Allowance) { d.budget.SetAllowance(a) }
+
 // exchange is one request on its way.
 type exchange struct {
 	route *cicadaseam.MeshRoute
@@ -277,7 +280,7 @@
 			x.lastCause = cicadaseam.ReasonDeadline
 			break
 		}
-		choice, ok := d.placer.Pick(now, x.route.Objective, d.candidates(now, x.call.Service), x.asked)
+		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now)}, d.candidates(now, x.call.Service), x.asked)
 		if !ok {
 			break
 		}
@@ -289,6 +292,7 @@
 		}
 		answer := d.send(ctx, x, &choice)
 		d.placer.Ended(time.Now(), choice.Candidate.Addr, answer)
+		d.placer.Size(x.route.Name, len(x.call.Body)+len(answer.Body))
 		if repeat && !answer.Offered && answer.Outcome == cicadaseam.OutcomeNotRun {
 			d.budget.Return(now, x.call.Service)
 		}
@@ -313,6 +317,7 @@
 	call := x.call
 	call.Budget = x.deadline.Sub(now) - answerMargin
 	call.Wait, call.Late = allowedWait(now, x, choice.Work)
+	call.Due = x.onTime.Sub(now)
 	call.Returning = x.returning
 	if choice.Candidate.Local {
 		return d.local.Run(ctx, &call)
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -9,19 +9,29 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
 )
 
-// Costs of a target, in shares of the objective of a request.
+// Costs of a target, in shares of what an answer on time is worth.
 const (
-	// farCost is what an answer from another zone costs by its bytes.
-	farCost = 0.08
+	// farCostPerKB is what a kilobyte from another zone costs.
+	farCostPerKB = 0.03
+	// overheadKB is what a request and its answer take beside their bodies.
+	overheadKB = 0.5
+	// lateCost is what is lost when an answer is late.
+	lateCost = 0.7
+	// sureShare is the share of the objective up to which an answer that is expected
+	// then is hardly ever late.
+	sureShare = 0.3
 	// failCost is the cost of a target at which every request fails.
-	failCost = 2.0
+	failCost = 1.5
 	// busyCost spreads requests over targets that have room.
-	busyCost = 0.10
+	busyCost = 0.02
 	// noise keeps nodes with the same news from choosing the same target.
-	noise = 0.03
+	noise = 0.01
 	// usualPace is the pace of a target that told none, in thousandths.
 	usualPace = 330
 	thousand  = 1000
+	kilobyte  = 1024
+	// sizeShare is the weight of a new sample in the mean size of a route's bodies.
+	sizeShare = 0.05
 )
 
 const (
@@ -62,11 +72,20 @@
 	zone   string
 	rng    *rand.Rand
 	tracks map[string]*track
+	sizes  map[string]float64 // mean bytes of the bodies of a route
+}
+
+// Need is what a request needs of its target.
+type Need struct {
+	Route     string
+	Objective time.Duration
+	// Left is the time until its answer is late.
+	Left time.Duration
 }
 
 // NewPlacer returns a placer for a node in a zone.
 func NewPlacer(zone string, rng *rand.Rand) *Placer {
-	return &Placer{zone: zone, rng: rng, tracks: map[string]*track{}}
+	return &Placer{zone: zone, rng: rng, tracks: map[string]*track{}, sizes: map[string]float64{}}
 }
 
 // Choice is the outcome of Pick.
@@ -80,7 +99,7 @@
 
 // Pick returns the cheapest candidate that was not tried, and counts a request as
 // sent to it.
-func (p *Placer) Pick(now time.Time, objective time.Duration, candidates []Candidate, tried map[string]bool) (Choice, bool) {
+func (p *Placer) Pick(now time.Time, need Need, candidates []Candidate, tried map[string]bool) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1
@@ -95,7 +114,7 @@
 		if now.Before(t.avoid) {
 			continue
 		}
-		cost, work, wait := p.cost(t, c, objective)
+		cost, work, wait := p.cost(t, c, need)
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 			choice = Choice{Candidate: *c, Work: work, Wait: wait}
@@ -134,27 +153,55 @@
 }
 
 // cost estimates what it costs to send a request to a target now.
-func (p *Placer) cost(t *track, c *Candidate, objective time.Duration) (cost float64, work, wait time.Duration) {
+func (p *Placer) cost(t *track, c *Candidate, need Need) (cost float64, work, wait time.Duration) {
 	pace := t.load.Pace
 	if pace == 0 {
 		pace = usualPace
 	}
 	slots := max(t.load.Slots, 1)
-	work = objective * time.Duration(pace) / thousand
+	work = need.Objective * time.Duration(pace) / thousand
 	occupied := t.load.Running + t.load.Queued + t.sent
 	if occupied >= slots {
 		wait = work * time.Duration(occupied-slots+1) / time.Duration(slots)
 	}
-	cost = float64(work+wait) / float64(max(objective, time.Millisecond))
+	cost = lateCost * lateness(work+wait, need)
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
 	if c.Zone != p.zone {
-		cost += farCost
+		cost += farCostPerKB * (overheadKB + p.sizes[need.Route]/kilobyte)
 	}
 	return cost + noise*p.rng.Float64(), work, wait
 }
 
+// lateness estimates how likely an answer is late that is expected after a time. It
+// goes on rising beyond certainty, so that of many late targets the quickest wins.
+func lateness(expected time.Duration, need Need) float64 {
+	left := max(need.Left, need.Objective/4)
+	if left <= 0 {
+		return 0
+	}
+	x := (float64(expected)/float64(left) - sureShare) / (1 - sureShare)
+	if x <= 0 {
+		return 0
+	}
+	return min(x*x, x)
+}
+
+// Size notes the bytes of the bodies of a request and its answer.
+func (p *Placer) Size(route string, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, known := p.sizes[route]
+	if !known {
+		if len(p.sizes) >= maxHabits {
+			p.sizes = map[string]float64{}
+		}
+		mean = float64(bytes)
+	}
+	p.sizes[route] = mean + sizeShare*(float64(bytes)-mean)
+}
+
 // Ended takes what came of a request at a target.
 func (p *Placer) Ended(now time.Time, addr string, answer *cicadaseam.MeshAnswer) {
 	p.mu.Lock()
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -65,7 +65,9 @@
 	// Revision is the number of the configuration in force.
 	Revision uint64
 	// Leaving is set by a node that is about to end.
-	Leaving  bool
+	Leaving bool
+	// Blind is set while the configuration source does not answer the node.
+	Blind    bool
 	Service  string
 	Instance string
 	// Serving is set while the backend server takes requests.
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -241,7 +241,7 @@
 	if !c.enter() {
 		return false
 	}
-	p := &pending{method: req.Method, done: make(chan struct{}), last: req.Close || !req.ProtoAtLeast(1, 1)}
+	p := &pending{method: req.Method, done: make(chan struct{}), last: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load()}
 	c.server.open.Add(1)
 	c.queue <- p
 	go func() {
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -2,11 +2,12 @@
 //
 // # Model
 //
-// A Keeper holds one immutable route.Table. It follows a RevisionSource by long
-// polls and hears from other nodes how far they are: one that is behind for a
-// moment fetches the document from the node that told it, so that a node which
-// the source does not serve stays current too. However a document comes, it is
-// decoded whole, checked, and swapped in only if its number is higher.
+// A Keeper holds one immutable route.Table. A few nodes, the readers, follow a
+// RevisionSource by long polls; all hear from each other how far they are. A node
+// that is behind fetches the document from a node of its own zone at once, and from
+// one of another zone after a moment, so that a node which the source does not
+// serve stays current too. However a document comes, it is decoded whole, checked,
+// and swapped in only if its number is higher.
 //
 // # Invariants
 //
@@ -44,9 +45,13 @@
 	callTimeout  = 2 * time.Second
 	backoffFirst = 100 * time.Millisecond
 	backoffCap   = time.Second
-	// behindFor is how long a node waits for the source before it asks the peer
-	// that knows a later number.
-	behindFor = 150 * time.Millisecond
+	// behindFor is how long a node waits for news from its own zone before it
+	// fetches from another one.
+	behindFor = 400 * time.Millisecond
+	// dutyPeriod is how often a node looks whether it has become a reader, and
+	// checkPeriod how often one that is none asks the source all the same.
+	dutyPeriod  = 250 * time.Millisecond
+	checkPeriod = 15 * time.Second
 )
 
 // Fetch asks another node for its newest document.
@@ -58,15 +63,25 @@
 	fetch   Fetch
 	logger  *zap.Logger
 	changed func()
+	reader  func() bool
+	blind   atomic.Bool
 
 	table atomic.Pointer[route.Table]
 
 	mu       sync.Mutex
 	document []byte
 	fetching bool
+	wanted   wanted
 	ready    chan struct{}
 }
 
+// wanted is the latest number that another node told.
+type wanted struct {
+	number uint64
+	addr   string
+	near   bool
+}
+
 // Option changes a new Keeper.
 type Option func(*Keeper)
 
@@ -76,9 +91,12 @@
 // WithChanged sets a function that is called after each swap.
 func WithChanged(f func()) Option { return func(k *Keeper) { k.changed = f } }
 
+// WithReader sets the test whether this node is a reader now.
+func WithReader(f func() bool) Option { return func(k *Keeper) { k.reader = f } }
+
 // New returns a keeper without a table.
 func New(source cicadaseam.RevisionSource, fetch Fetch, opts ...Option) *Keeper {
-	k := &Keeper{source: source, fetch: fetch, logger: zap.NewNop(), changed: func() {}, ready: make(chan struct{})}
+	k := &Keeper{source: source, fetch: fetch, logger: zap.NewNop(), changed: func() {}, reader: func() bool { return true }, ready: make(chan struct{})}
 	for _, opt := range opts {
 		opt(k)
 	}
@@ -146,31 +164,46 @@
 	return true
 }
 
+// Blind reports whether the source does not answer this node.
+func (k *Keeper) Blind() bool { return k.blind.Load() }
+
 // Run follows the source until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	next := cicadaseam.Offset(0)
 	known := false
 	failures := 0
 	for ctx.Err() == nil {
+		if known && !k.reader() {
+			k.rest(ctx)
+			known = false
+			continue
+		}
 		var err error
 		if known {
 			next, err = k.poll(ctx, next)
 		} else {
 			next, err = k.newest(ctx)
 		}
+		known = err == nil
 		var trimmed *cicadaseam.TrimmedError
 		switch {
 		case err == nil:
 			k.regained(failures)
-			failures, known = 0, true
-		case errors.As(err, &trimmed):
-			known = false
-		default:
+			failures = 0
+		case !errors.As(err, &trimmed):
 			k.lost(failures, err)
 			failures++
-			known = false
 			wait.Sleep(ctx, backoffFirst/2+wait.Backoff(rand.Int64N, failures, backoffFirst, backoffCap))
 		}
+		k.blind.Store(failures > 0)
+	}
+}
+
+// rest waits while other nodes read the source.
+func (k *Keeper) rest(ctx context.Context) {
+	until := time.Now().Add(checkPeriod)
+	for time.Now().Before(until) && !k.reader() && wait.Sleep(ctx, dutyPeriod) {
+		continue
 	}
 }
 
@@ -220,40 +253,83 @@
 	return true
 }
 
-// Heard takes how far another node is. A node that is behind fetches from it after
-// a moment, unless the source was quicker.
-func (k *Keeper) Heard(ctx context.Context, addr string, number uint64) {
+// Heard takes how far another node is; near tells that it is in the own zone.
+func (k *Keeper) Heard(ctx context.Context, addr string, number uint64, near bool) {
 	if number <= k.Number() {
 		return
 	}
 	k.mu.Lock()
-	busy := k.fetching
-	k.fetching = true
-	k.mu.Unlock()
-	if busy {
+	defer k.mu.Unlock()
+	if number > k.wanted.number || near && !k.wanted.near {
+		k.wanted = wanted{number: max(number, k.wanted.number), addr: addr, near: near}
+	}
+	if k.fetching {
 		return
 	}
-	go k.catchUp(ctx, addr, number)
+	k.fetching = true
+	go k.catchUp(ctx)
 }
 
-func (k *Keeper) catchUp(ctx context.Context, addr string, number uint64) {
-	defer func() {
-		k.mu.Lock()
+// catchUp fetches until nothing later is known or a fetch brings nothing.
+func (k *Keeper) catchUp(ctx context.Context) {
+	for k.step(ctx) {
+		continue
+	}
+}
+
+// step fetches once. It returns false, and ends the fetching, when there is no more
+// to do.
+func (k *Keeper) step(ctx context.Context) bool {
+	if !k.near() && k.Number() > 0 {
+		k.awaitNear(ctx)
+	}
+	before := k.Number()
+	k.mu.Lock()
+	w := k.wanted
+	if before >= w.number {
 		k.fetching = false
+		k.wanted = wanted{}
 		k.mu.Unlock()
-	}()
-	if k.Number() > 0 && !wait.Sleep(ctx, behindFor) {
-		return
+		return false
 	}
-	if k.Number() >= number {
-		return
+	k.mu.Unlock()
+	k.fetchFrom(ctx, w)
+	if k.Number() > before {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fetching = false
+	k.wanted = wanted{}
+	return false
+}
+
+func (k *Keeper) near() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.wanted.near
+}
+
+// awaitNear gives a node of the own zone a moment to have what is wanted.
+func (k *Keeper) awaitNear(ctx context.Context) {
+	const look = 50 * time.Millisecond
+	for waited := time.Duration(0); waited < behindFor && !k.near(); waited += look {
+		k.mu.Lock()
+		done := k.table.Load() != nil && k.Number() >= k.wanted.number
+		k.mu.Unlock()
+		if done || !wait.Sleep(ctx, look) {
+			return
+		}
 	}
+}
+
+func (k *Keeper) fetchFrom(ctx context.Context, w wanted) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := k.fetch(ctx, addr)
+	data, err := k.fetch(ctx, w.addr)
 	if err != nil {
-		k.logger.Info("configuration not fetched", zap.String("peer", addr), zap.Uint64("revision", number), zap.Error(err))
+		k.logger.Info("configuration not fetched", zap.String("peer", w.addr), zap.Uint64("revision", w.number), zap.Error(err))
 		return
 	}
-	_ = k.Take(data, addr) // a fault is logged and changes nothing
+	_ = k.Take(data, w.addr) // a fault is logged and changes nothing
 }
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -40,19 +40,18 @@
 	Refused
 )
 
-// Ranks of requests. Calls that a backend server makes for a request that is
-// already running go first: a request whose call is refused has wasted its slot.
-// Requests that are late take what the others leave.
+// Ranks of requests. Requests that are late take what the others leave.
 const (
-	RankNested = 0
-	RankFirst  = 1 // priorities follow from here
-	RankLate   = 15
-	ranks      = RankLate + 1
+	RankFirst = 0 // priorities follow from here
+	RankLate  = 15
+	ranks     = RankLate + 1
 )
 
 // Item is one request.
 type Item struct {
 	Rank int
+	// Due is when the answer is due.
+	Due time.Time
 	// Wait is the longest time for which the request may wait.
 	Wait time.Duration
 	// Work is how long the request is expected to run.
@@ -69,8 +68,8 @@
 type Queue struct {
 	limit   int
 	running int
-	work    time.Duration // mean time that a request runs
-	waiting [ranks]list.List
+	work    time.Duration        // mean time that a request runs
+	waiting [ranks]list.List     // each in order of Due
 	ahead   [ranks]time.Duration // work that waits, by rank
 	count   int
 }
@@ -102,18 +101,36 @@
 // Work returns the mean time that a request runs.
 func (q *Queue) Work() time.Duration { return q.work }
 
-// Estimate returns how long a request of a rank would wait.
+// Estimate returns how long a request of a rank that is due last would wait.
 func (q *Queue) Estimate(rank int) time.Duration {
-	if q.running < q.limit && q.count == 0 {
-		return 0
-	}
 	ahead := time.Duration(0)
 	for r := 0; r <= clampRank(rank); r++ {
 		ahead += q.ahead[r]
 	}
+	return q.estimate(ahead)
+}
+
+// estimate returns how long a request waits behind an amount of work.
+func (q *Queue) estimate(ahead time.Duration) time.Duration {
+	if q.running < q.limit && q.count == 0 {
+		return 0
+	}
 	// The first slot comes free after the mean rest of one of the running requests.
-	first := q.work / time.Duration(q.limit)
-	return first + ahead/time.Duration(q.limit)
+	return (q.work + ahead) / time.Duration(q.limit)
+}
+
+// place finds where an item belongs in its rank, from the back, and the work that
+// is ahead of it.
+func (q *Queue) place(x *Item) (after *list.Element, ahead time.Duration) {
+	for r := 0; r <= x.Rank; r++ {
+		ahead += q.ahead[r]
+	}
+	after = q.waiting[x.Rank].Back()
+	for after != nil && x.Due.Before(after.Value.(*Item).Due) {
+		ahead -= after.Value.(*Item).Work
+		after = after.Prev()
+	}
+	return after, ahead
 }
 
 func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
@@ -129,12 +146,17 @@
 		q.running++
 		return Started, 0
 	}
-	wait = q.Estimate(x.Rank)
+	after, ahead := q.place(x)
+	wait = q.estimate(ahead)
 	if wait > x.Wait {
 		return Refused, wait
 	}
 	x.until = now.Add(x.Wait)
-	x.element = q.waiting[x.Rank].PushBack(x)
+	if after == nil {
+		x.element = q.waiting[x.Rank].PushFront(x)
+	} else {
+		x.element = q.waiting[x.Rank].InsertAfter(x, after)
+	}
 	q.ahead[x.Rank] += x.Work
 	q.count++
 	return Queued, wait
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -101,6 +101,13 @@
 	return t
 }
 
+// SetLease changes how long an instance is used after its last announcement.
+func (t *Target) SetLease(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lease = d
+}
+
 // Announce takes what a backend server says of itself.
 func (t *Target) Announce(now time.Time, x cicadaseam.Instance) {
 	t.mu.Lock()
@@ -275,7 +282,7 @@
 	if reason := s.unfit(now, t.lease); reason != cicadaseam.ReasonNone {
 		return nil, nil, refusalLocked(now, s, reason, 0)
 	}
-	item := &slot.Item{Rank: rankOf(call), Wait: call.Wait, Ready: make(chan bool, 1)}
+	item := &slot.Item{Rank: rankOf(call), Due: now.Add(call.Due), Wait: call.Wait, Ready: make(chan bool, 1)}
 	verdict, wait := s.queue.Offer(now, item)
 	switch verdict {
 	case slot.Started:
@@ -290,8 +297,6 @@
 // rankOf returns the rank in which a request waits.
 func rankOf(call *cicadaseam.MeshCall) int {
 	switch {
-	case call.Nested:
-		return slot.RankNested
 	case call.Late:
 		return slot.RankLate
 	case call.Returning:
--- a/mesh.go
+++ b/mesh.go
@@ -149,11 +149,11 @@
 	Budget time.Duration `msgpack:"t"`
 	// Wait is the longest time that the request may wait for a slot.
 	Wait time.Duration `msgpack:"w"`
+	// Due is the time left until the answer is late.
+	Due time.Duration `msgpack:"e"`
 	// Objective is the route's objective, by which targets judge their pace.
 	Objective time.Duration `msgpack:"j"`
 	Priority  int           `msgpack:"p"`
-	// Nested calls are made by a backend server for a request that it runs.
-	Nested bool `msgpack:"n"`
 	// Late requests can no longer be answered on time.
 	Late bool `msgpack:"l"`
 	// Returning requests were refused before.
