--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -292,7 +292,9 @@
 		}
 		answer := d.send(ctx, x, &choice)
 		d.placer.Ended(time.Now(), choice.Candidate.Addr, answer)
-		d.placer.Size(x.route.Name, len(x.call.Body)+len(answer.Body))
+		if answer.Outcome == cicadaseam.OutcomeRan {
+			d.placer.Size(x.route.Name, len(x.call.Body)+len(answer.Body))
+		}
 		if repeat && !answer.Offered && answer.Outcome == cicadaseam.OutcomeNotRun {
 			d.budget.Return(now, x.call.Service)
 		}
--- /dev/null
+++ b/internal/mesh/dispatch/place_test.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+var (
+	epoch = time.Unix(1000, 0)
+	need  = Need{Route: "status", Objective: 300 * time.Millisecond, Left: 300 * time.Millisecond}
+)
+
+func newPlacer() *Placer { return NewPlacer("north", rand.New(rand.NewPCG(1, 2))) }
+
+func candidate(addr, zone string, load cicadaseam.MeshLoad) Candidate {
+	if load.Slots == 0 {
+		load.Slots = 10
+	}
+	return Candidate{Addr: addr, Zone: zone, Load: load, Heard: epoch}
+}
+
+func pick(t *testing.T, p *Placer, c ...Candidate) string {
+	t.Helper()
+	choice, ok := p.Pick(epoch.Add(time.Millisecond), need, c, map[string]bool{})
+	require.True(t, ok)
+	return choice.Candidate.Addr
+}
+
+func TestChoiceOfATarget(t *testing.T) {
+	tests := []struct {
+		name      string
+		near, far cicadaseam.MeshLoad
+		want      string
+	}{
+		{"own zone when both are idle", cicadaseam.MeshLoad{}, cicadaseam.MeshLoad{}, "near"},
+		{"own zone while it is slower and on time", cicadaseam.MeshLoad{Pace: 400}, cicadaseam.MeshLoad{Pace: 150}, "near"},
+		{"another zone when the own one would be late", cicadaseam.MeshLoad{Pace: 1000}, cicadaseam.MeshLoad{Pace: 300}, "far"},
+		{"another zone when the wait is too long", cicadaseam.MeshLoad{Pace: 330, Running: 10, Queued: 14}, cicadaseam.MeshLoad{Pace: 330}, "far"},
+		{"own zone when the wait is short", cicadaseam.MeshLoad{Pace: 200, Running: 10, Queued: 2}, cicadaseam.MeshLoad{Pace: 200}, "near"},
+		{"another zone when the own one fails", cicadaseam.MeshLoad{Failing: 300}, cicadaseam.MeshLoad{}, "far"},
+		{"the quicker of two that are late", cicadaseam.MeshLoad{Pace: 3000}, cicadaseam.MeshLoad{Pace: 2000}, "far"},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			p := newPlacer()
+			p.Size(need.Route, 1500)
+			require.Equal(t, x.want, pick(t, p, candidate("near", "north", x.near), candidate("far", "south", x.far)))
+		})
+	}
+}
+
+// Large answers make another zone dear, so that it is chosen later.
+func TestLargeAnswersStayInTheZoneForLonger(t *testing.T) {
+	near := candidate("near", "north", cicadaseam.MeshLoad{Pace: 600})
+	far := candidate("far", "south", cicadaseam.MeshLoad{Pace: 200})
+	p := newPlacer()
+	require.Equal(t, "far", pick(t, p, near, far))
+	p.Size(need.Route, 8<<10)
+	require.Equal(t, "near", pick(t, p, near, far))
+}
+
+func TestRequestsSentSinceTheNewsCount(t *testing.T) {
+	p := newPlacer()
+	counts := map[string]int{}
+	for range 40 {
+		counts[pick(t, p, candidate("near", "north", cicadaseam.MeshLoad{Pace: 330}), candidate("far", "south", cicadaseam.MeshLoad{Pace: 330}))]++
+	}
+	require.Greater(t, counts["far"], 8)
+	require.GreaterOrEqual(t, counts["near"], 16)
+}
+
+func TestTargetBehindAFailedLinkIsAvoided(t *testing.T) {
+	p := newPlacer()
+	near, far := candidate("near", "north", cicadaseam.MeshLoad{}), candidate("far", "south", cicadaseam.MeshLoad{})
+	require.Equal(t, "near", pick(t, p, near, far))
+	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink})
+	require.Equal(t, "far", pick(t, p, near, far))
+	choice, ok := p.Pick(epoch.Add(avoidFirst), need, []Candidate{near, far}, map[string]bool{})
+	require.True(t, ok)
+	require.Equal(t, "near", choice.Candidate.Addr)
+}
+
+func TestBudgetOfTheFleet(t *testing.T) {
+	const nodes = 13
+	allow := Allowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	total := 0
+	for n := range nodes {
+		b := NewBudget(epoch, allow)
+		now := epoch
+		for i := range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			b.Request(now, "desk")
+			if n < nodes/3 && b.Take(now, "desk", nodes) { // a third sees nothing but failures
+				total++
+			}
+			_ = i
+		}
+	}
+	require.LessOrEqual(t, float64(total), 0.2*1000*nodes+60)
+	require.Greater(t, total, 200)
+}
+
+func TestBudgetSlides(t *testing.T) {
+	b := NewBudget(epoch, Allowance{Ratio: 0, Slack: 10, Window: 10 * time.Second})
+	taken := 0
+	for b.Take(epoch, "desk", 1) {
+		taken++
+	}
+	require.Equal(t, 4, taken) // its part of ten
+	require.False(t, b.Take(epoch.Add(9*time.Second), "desk", 1))
+	require.True(t, b.Take(epoch.Add(11*time.Second), "desk", 1))
+	b.Return(epoch.Add(11*time.Second), "desk")
+	for range 4 {
+		require.True(t, b.Take(epoch.Add(11*time.Second), "desk", 1))
+	}
+	require.False(t, b.Take(epoch.Add(11*time.Second), "desk", 1))
+}
+
+func TestCallersThatReturnAreKnownByTheirDeadline(t *testing.T) {
+	h := newHabits()
+	require.Zero(t, h.spent("status", 2*time.Second))
+	require.Equal(t, 700*time.Millisecond, h.spent("status", 1300*time.Millisecond))
+	require.Zero(t, h.spent("history", 1300*time.Millisecond))
+}
+
+func TestAllowedWait(t *testing.T) {
+	route := &cicadaseam.MeshRoute{Objective: 400 * time.Millisecond}
+	tests := []struct {
+		name string
+		left time.Duration
+		want time.Duration
+		late bool
+	}{
+		{"fresh", 400 * time.Millisecond, 260 * time.Millisecond, false},
+		{"half used", 200 * time.Millisecond, 80 * time.Millisecond, false},
+		{"too late to be on time", 100 * time.Millisecond, 100 * time.Millisecond, true},
+		{"over", -time.Second, 100 * time.Millisecond, true},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			wait, late := allowedWait(epoch, &exchange{route: route, onTime: epoch.Add(x.left)}, 100*time.Millisecond)
+			require.Equal(t, x.want, wait)
+			require.Equal(t, x.late, late)
+		})
+	}
+}
--- /dev/null
+++ b/internal/mesh/fleet/fleet_test.go
@@ -0,0 +1,156 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
+	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// sink is a datagram address that keeps what is sent.
+type sink struct{ sent map[string]int }
+
+func (s *sink) Send(addr string, _ []byte) error { s.sent[addr]++; return nil }
+
+func (s *sink) Receive([]byte) (int, error) { select {} }
+
+func (s *sink) LocalAddr() string { return "self" }
+
+func (s *sink) Close() error { return nil }
+
+func newFleet() (*Fleet, *sink) {
+	s := &sink{sent: map[string]int{}}
+	sample := func(time.Time) Beat { return Beat{Node: "self", Addr: "self"} }
+	f := New("self", s, timer.New(rand.New(rand.NewPCG(1, 1))), sample)
+	f.now = func() time.Time { return epoch }
+	return f, s
+}
+
+func beat(addr string, run int64, sequence uint64) Beat {
+	return Beat{Node: addr, Addr: addr, Zone: "north", Epoch: run, Sequence: sequence, Service: "desk", Serving: true}
+}
+
+func TestBeatsAreTakenInOrder(t *testing.T) {
+	f, _ := newFleet()
+	f.Take(epoch, beat("a", 1, 5))
+	old := beat("a", 1, 4)
+	old.Serving = false
+	f.Take(epoch, old)
+	require.True(t, f.Peers()[0].Beat.Serving)
+}
+
+// A process that starts again is believed, also when its clock went back, once the
+// one before it is silent.
+func TestProcessThatStartedAgain(t *testing.T) {
+	f, _ := newFleet()
+	f.Take(epoch, beat("a", 10, 500))
+	f.Take(epoch.Add(time.Millisecond), beat("a", 11, 1))
+	require.Equal(t, int64(11), f.Peers()[0].Beat.Epoch)
+	f.Take(epoch.Add(2*time.Millisecond), beat("a", 10, 501))
+	require.Equal(t, int64(11), f.Peers()[0].Beat.Epoch)
+	f.Take(epoch.Add(time.Second), beat("a", 5, 1))
+	require.Equal(t, int64(5), f.Peers()[0].Beat.Epoch)
+}
+
+func TestSilentNodesAreLeftOutAndStillSentBeats(t *testing.T) {
+	f, s := newFleet()
+	f.Take(epoch, beat("a", 1, 1))
+	require.Len(t, f.Peers(), 1)
+	later := epoch.Add(missedBeats*DefaultPeriod + 1)
+	f.expire(later)
+	require.Empty(t, f.Peers())
+	for range silentShare {
+		f.send(epoch.Add(10 * time.Second))
+	}
+	require.Equal(t, 1, s.sent["a"])
+	f.expire(epoch.Add(forgetAfter + time.Second))
+	f.send(epoch.Add(forgetAfter + time.Second))
+	require.Equal(t, 1, s.sent["a"])
+}
+
+func TestUnknownSendersAreLearned(t *testing.T) {
+	f, s := newFleet()
+	f.Learn([]string{"self", "", "b"})
+	f.Take(epoch, beat("a", 1, 1))
+	f.send(epoch)
+	require.Equal(t, map[string]int{"a": 1, "b": 1}, s.sent)
+}
+
+func TestPeriodGrowsWithTheFleet(t *testing.T) {
+	f, _ := newFleet()
+	require.Equal(t, DefaultPeriod, f.Period())
+	for i := range 4 * smallFleet {
+		f.Learn([]string{string(rune('a'+i/26)) + string(rune('a'+i%26))})
+	}
+	require.Equal(t, 4*DefaultPeriod, f.Period())
+}
+
+func TestForeignDatagramsAreDropped(t *testing.T) {
+	good, err := pack.Marshal(&Beat{Node: "a", Addr: "a"})
+	require.NoError(t, err)
+	nobody, err := pack.Marshal(&Beat{})
+	require.NoError(t, err)
+	tests := []struct {
+		name string
+		data []byte
+		want bool
+	}{
+		{"good", append([]byte{Format}, good...), true},
+		{"empty", nil, false},
+		{"other format", append([]byte{Format + 1}, good...), false},
+		{"cut short", append([]byte{Format}, good[:len(good)/2]...), false},
+		{"nobody", append([]byte{Format}, nobody...), false},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			_, ok := decode(x.data)
+			require.Equal(t, x.want, ok)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good, err := pack.Marshal(&Beat{Node: "a", Addr: "a"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{Format}, good...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if b, ok := decode(data); ok && b.Addr == "" {
+			t.Fatal("a beat without an address")
+		}
+	})
+}
+
+// Exactly one node of a zone does a duty when all agree on who lives, and a node
+// that cannot do it is passed over.
+func TestOneNodeOfAZoneDoesADuty(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	first := func(blind string) []string {
+		var out []string
+		for _, self := range names {
+			var peers []Peer
+			for _, n := range names {
+				if n != self {
+					peers = append(peers, Peer{Beat: Beat{Node: n, Zone: "north", Blind: n == blind}})
+				}
+			}
+			peers = append(peers, Peer{Beat: Beat{Node: "far", Zone: "south"}})
+			if self != blind && First("reader", self, "north", peers) {
+				out = append(out, self)
+			}
+		}
+		return out
+	}
+	one := first("")
+	require.Len(t, one, 1)
+	other := first(one[0])
+	require.Len(t, other, 1)
+	require.NotEqual(t, one, other)
+}
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -119,7 +119,7 @@
 	}
 	limits := c.server.limitsNow()
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // a failure shows in the read
-	c.limit.N = int64(limits.HeaderBytes + headerSlack)
+	c.limit.N = int64(max(limits.HeaderBytes+headerSlack-c.r.Buffered(), 1))
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
 		return nil, nil, c.headFault(err)
--- /dev/null
+++ b/internal/mesh/front/front_test.go
@@ -0,0 +1,190 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
+)
+
+// start serves a handler and returns the server and a connection to it.
+func start(t *testing.T, h Handler, limits cicadaseam.Limits) (*Server, net.Conn, *bufio.Reader) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(h, WithLimits(func() cicadaseam.Limits { return limits }))
+	go s.Serve(l)
+	t.Cleanup(func() { _ = l.Close() })
+	nc, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return s, nc, bufio.NewReader(nc)
+}
+
+func echo(_ context.Context, r *dispatch.Request) *dispatch.Reply {
+	return &dispatch.Reply{Status: 200, Body: []byte(r.Method + " " + r.Target + " " + string(r.Body))}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n" }
+
+func answer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(body)
+}
+
+func TestPipelinedRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, nc, r := start(t, func(ctx context.Context, req *dispatch.Request) *dispatch.Reply {
+		if req.Path == "/2" {
+			close(second)
+		} else {
+			<-second // the first ends only after the second has begun
+		}
+		return echo(ctx, req)
+	}, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, get("/1")+get("/2"))
+	_, body := answer(t, r)
+	require.Equal(t, "GET /1 ", body)
+	_, body = answer(t, r)
+	require.Equal(t, "GET /2 ", body)
+}
+
+func TestBodiesComeWithALengthOrInChunks(t *testing.T) {
+	_, nc, r := start(t, echo, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, "POST /a?b=c HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\n\r\nabc")
+	_, body := answer(t, r)
+	require.Equal(t, "POST /a?b=c abc", body)
+	_, _ = io.WriteString(nc, "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+	_, body = answer(t, r)
+	require.Equal(t, "POST /a abc", body)
+	_, _ = io.WriteString(nc, "POST /a HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	resp, _ := answer(t, r)
+	require.Equal(t, http.StatusContinue, resp.StatusCode)
+	_, _ = io.WriteString(nc, "x")
+	_, body = answer(t, r)
+	require.Equal(t, "POST /a x", body)
+}
+
+func TestLimits(t *testing.T) {
+	limits := cicadaseam.Limits{HeaderBytes: 1000, BodyBytes: 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 10 * time.Second}
+	tests := []struct {
+		name, text string
+		status     int
+	}{
+		{"large header", "GET / HTTP/1.1\r\nHost: a.example\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
+		{"large body", "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 11\r\n\r\n", 413},
+		{"large chunks", "POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", 413},
+		{"slow header", "GET / HTTP/1.1\r\nHost:", 408},
+		{"no request", "nonsense\r\n\r\n", 400},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			_, nc, r := start(t, echo, limits)
+			_, _ = io.WriteString(nc, x.text)
+			resp, _ := answer(t, r)
+			require.Equal(t, x.status, resp.StatusCode)
+			require.True(t, resp.Close)
+		})
+	}
+}
+
+func TestCallerThatLeavesCancelsAllItsRequests(t *testing.T) {
+	began, ended := make(chan bool, 2), make(chan bool, 2)
+	_, nc, _ := start(t, func(ctx context.Context, _ *dispatch.Request) *dispatch.Reply {
+		began <- true
+		<-ctx.Done()
+		ended <- true
+		return &dispatch.Reply{Status: 502}
+	}, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, get("/1")+get("/2"))
+	<-began
+	<-began
+	require.NoError(t, nc.Close())
+	<-ended
+	<-ended
+}
+
+func TestConnectionCloseOfTheCallerIsHonoured(t *testing.T) {
+	_, nc, r := start(t, echo, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n")
+	resp, _ := answer(t, r)
+	require.True(t, resp.Close)
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// While a node leaves, each connection takes one more request and says with its
+// last answer that it ends. What was sent behind it is not run.
+func TestDrainEndsConnectionsPolitely(t *testing.T) {
+	let := make(chan struct{})
+	ran := make(chan string, 10)
+	s, nc, r := start(t, func(ctx context.Context, req *dispatch.Request) *dispatch.Reply {
+		ran <- req.Path
+		<-let
+		return echo(ctx, req)
+	}, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, get("/1"))
+	require.Equal(t, "/1", <-ran)
+	s.Drain()
+	_, _ = io.WriteString(nc, get("/2"))
+	require.Equal(t, "/2", <-ran)
+	_, _ = io.WriteString(nc, get("/3"))
+	close(let)
+	resp, body := answer(t, r)
+	require.Equal(t, "GET /1 ", body)
+	require.False(t, resp.Close)
+	resp, body = answer(t, r)
+	require.Equal(t, "GET /2 ", body)
+	require.True(t, resp.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.True(t, s.Close(ctx))
+	require.Empty(t, ran)
+}
+
+func TestIdleConnectionsEndWithTheServer(t *testing.T) {
+	s, nc, r := start(t, echo, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, get("/1"))
+	_, _ = answer(t, r)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.True(t, s.Close(ctx))
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestIdleTimeout(t *testing.T) {
+	_, nc, r := start(t, echo, cicadaseam.Limits{IdleTimeout: 80 * time.Millisecond})
+	for i := range 3 {
+		time.Sleep(40 * time.Millisecond)
+		_, _ = io.WriteString(nc, get(fmt.Sprintf("/%d", i)))
+		_, _ = answer(t, r)
+	}
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	_, nc, r := start(t, echo, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, "HEAD /1 HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	resp, err := http.ReadResponse(r, &http.Request{Method: "HEAD"})
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	_, _ = io.WriteString(nc, get("/2"))
+	_, body := answer(t, r)
+	require.Equal(t, "GET /2 ", body)
+}
--- /dev/null
+++ b/internal/mesh/revision/revision_test.go
@@ -0,0 +1,193 @@
+package revision
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+// source is a RevisionSource whose documents are numbers.
+type source struct {
+	mu      sync.Mutex
+	log     []string
+	first   int
+	down    bool
+	calls   int
+	changed chan struct{}
+}
+
+func newSource() *source { return &source{changed: make(chan struct{})} }
+
+func (s *source) write(doc string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, doc)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *source) Newest(context.Context) (cicadaseam.Document, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return cicadaseam.Document{}, &cicadaseam.UnavailableError{Op: "newest"}
+	}
+	d := cicadaseam.Document{Next: cicadaseam.Offset(len(s.log))}
+	if len(s.log) > 0 {
+		d.Data = []byte(s.log[len(s.log)-1])
+	}
+	return d, nil
+}
+
+func (s *source) After(ctx context.Context, from cicadaseam.Offset, wait time.Duration) (cicadaseam.Document, error) {
+	s.mu.Lock()
+	s.calls++
+	changed := s.changed
+	if int(from) == len(s.log) && !s.down {
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return cicadaseam.Document{}, &cicadaseam.UnavailableError{Op: "read"}
+	case int(from) < s.first:
+		return cicadaseam.Document{}, &cicadaseam.TrimmedError{}
+	case int(from) >= len(s.log):
+		return cicadaseam.Document{Next: from}, nil
+	}
+	return cicadaseam.Document{Data: []byte(s.log[len(s.log)-1]), Next: cicadaseam.Offset(len(s.log))}, nil
+}
+
+func (s *source) Decode(data []byte) (*cicadaseam.Revision, error) {
+	n, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	r := &cicadaseam.Revision{Number: n, Routes: []cicadaseam.MeshRoute{{
+		Name: "r", Host: "a.example", Prefix: "/", Timeout: time.Second, Shares: []cicadaseam.Share{{Service: "s", Weight: 1}},
+	}}}
+	if n%10 == 9 { // a faulty one
+		r.Routes[0].Shares = nil
+	}
+	return r, nil
+}
+
+func noFetch(context.Context, string) ([]byte, error) { return nil, errors.New("nobody") }
+
+func TestNeverBackAndNeverInPart(t *testing.T) {
+	k := New(newSource(), noFetch)
+	require.NoError(t, k.Take([]byte("5"), "test"))
+	first := k.Table()
+	require.NoError(t, k.Take([]byte("3"), "test"))
+	require.NoError(t, k.Take([]byte("5"), "test"))
+	require.Error(t, k.Take([]byte("19"), "test"))
+	require.Error(t, k.Take([]byte("garbage"), "test"))
+	require.Same(t, first, k.Table())
+	require.NoError(t, k.Take([]byte("7"), "test"))
+	require.Equal(t, uint64(7), k.Number())
+	require.Equal(t, "7", string(k.Document()))
+}
+
+func TestReaderFollowsTheSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		k := New(s, noFetch)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go k.Run(ctx)
+		time.Sleep(time.Second)
+		for n := 1; n <= 8; n++ {
+			s.write(strconv.Itoa(n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(gatherTime)
+		require.Equal(t, uint64(8), k.Number())
+		require.Less(t, s.calls, 8) // a quick succession costs fewer polls
+		s.first = len(s.log) + 1    // the history is dropped while nothing was heard
+		s.log = append(s.log, "12", "13")
+		time.Sleep(pollWait + time.Second)
+		require.Equal(t, uint64(13), k.Number())
+	})
+}
+
+func TestReaderComesBackAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		s.write("1")
+		k := New(s, noFetch)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go k.Run(ctx)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		time.Sleep(pollWait + time.Second)
+		require.True(t, k.Blind())
+		s.write("2")
+		s.setDown(false)
+		time.Sleep(2 * backoffCap)
+		require.False(t, k.Blind())
+		require.Equal(t, uint64(2), k.Number())
+	})
+}
+
+// A node that the source does not serve is current all the same.
+func TestNodeThatIsBehindFetchesFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		s.setDown(true)
+		asked := ""
+		k := New(s, func(_ context.Context, addr string) ([]byte, error) {
+			asked = addr
+			return []byte("4"), nil
+		})
+		k.Heard(t.Context(), "far", 4, false)
+		time.Sleep(time.Millisecond)
+		require.Equal(t, uint64(4), k.Number()) // one without a table does not wait
+		k.Heard(t.Context(), "far", 5, false)
+		time.Sleep(behindFor / 2)
+		require.Equal(t, uint64(4), k.Number())
+		k.Heard(t.Context(), "near", 5, true)
+		time.Sleep(behindFor)
+		require.Equal(t, "near", asked)
+	})
+}
+
+func TestNodeThatIsNoReaderRarelyAsksTheSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		s.write("1")
+		reader := false
+		k := New(s, noFetch, WithReader(func() bool { return reader }))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go k.Run(ctx)
+		time.Sleep(checkPeriod + time.Second)
+		require.LessOrEqual(t, s.calls, 2)
+		reader = true
+		time.Sleep(time.Second)
+		s.write("2")
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(2), k.Number())
+	})
+}
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -122,7 +122,6 @@
 // Shares deals the requests of split routes. It is safe for concurrent use.
 type Shares struct {
 	mu     sync.Mutex
-	number uint64
 	credit map[string][]int
 }
 
--- /dev/null
+++ b/internal/mesh/upstream/upstream_test.go
@@ -0,0 +1,246 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+var headers = cicadaseam.DefaultMeshHeaders()
+
+// script serves connections by hand: each function answers one request and returns
+// whether the connection goes on.
+func script(t *testing.T, answer func(n int, r *http.Request, nc net.Conn) bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	serve := func(nc net.Conn) {
+		defer func() { _ = nc.Close() }()
+		br := bufio.NewReader(nc)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if !answer(int(requests.Add(1)), req, nc) {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(nc)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", headers.Attempt, id, headers.Seal, len(body), body)
+}
+
+func call(id string) *cicadaseam.MeshCall {
+	return &cicadaseam.MeshCall{ID: id, Method: "GET", Host: "a.example", Target: "/x?y=1", Idempotent: true}
+}
+
+func do(t *testing.T, c *Client, x *cicadaseam.MeshCall) Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return c.Do(ctx, x, "i-1", 1500*time.Millisecond)
+}
+
+func TestRequestCarriesWhatTheBackendServerExpects(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	c := New(script(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		got <- r
+		_, _ = nc.Write([]byte(ok("q1", "hello")))
+		return true
+	}), headers)
+	x := call("q1")
+	x.Headers = []cicadaseam.Header{{Name: headers.Caller, Value: "desk"}}
+	r := do(t, c, x)
+	require.NoError(t, r.Err)
+	require.Equal(t, "hello", string(r.Body))
+	req := <-got
+	require.Equal(t, "/x?y=1", req.RequestURI)
+	require.Equal(t, "a.example", req.Host)
+	require.Equal(t, "i-1", req.Header.Get(headers.Expected))
+	require.Equal(t, "1500", req.Header.Get(headers.Deadline))
+	require.Equal(t, "desk", req.Header.Get(headers.Caller))
+	require.Equal(t, "q1", req.Header.Get(headers.Attempt))
+}
+
+// A second answer to an earlier request comes where the next one is expected. It is
+// passed over, whether it came before the next request or with its answer.
+func TestStrayAnswersArePassedOver(t *testing.T) {
+	c := New(script(t, func(n int, r *http.Request, nc net.Conn) bool {
+		id := r.Header.Get(headers.Attempt)
+		stray := ""
+		if n == 2 {
+			stray = ok("q1", "stray")
+		}
+		_, _ = nc.Write([]byte(stray + ok(id, "answer to "+id)))
+		return true
+	}), headers)
+	require.Equal(t, "answer to q1", string(do(t, c, call("q1")).Body))
+	require.Equal(t, "answer to q2", string(do(t, c, call("q2")).Body))
+	require.Equal(t, int64(1), c.Dials())
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	c := New(script(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		id := r.Header.Get(headers.Attempt)
+		_, _ = nc.Write([]byte(ok(id, id) + ok(id, "again")))
+		return true
+	}), headers)
+	require.Equal(t, "q1", string(do(t, c, call("q1")).Body))
+	require.Equal(t, "q2", string(do(t, c, call("q2")).Body))
+	require.Equal(t, int64(2), c.Dials())
+}
+
+func TestSpoiledAnswersAreErrors(t *testing.T) {
+	tests := map[string]string{
+		"no seal":    "HTTP/1.1 200 OK\r\n" + headers.Attempt + ": q\r\nContent-Length: 2\r\n\r\nhi",
+		"no id":      "HTTP/1.1 200 OK\r\n" + headers.Seal + ": s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+		"foreign id": "HTTP/1.1 200 OK\r\n" + headers.Attempt + ": p\r\nConnection: close\r\n\r\nhi",
+		"cut short":  "HTTP/1.1 200 OK\r\n" + headers.Attempt + ": q\r\n" + headers.Seal + ": s\r\nContent-Length: 9\r\n\r\nhi",
+		"cut chunk":  "HTTP/1.1 200 OK\r\n" + headers.Attempt + ": q\r\n" + headers.Seal + ": s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi",
+		"no HTTP":    "\x00\x01garbage\r\n\r\n",
+		"nothing":    "",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(script(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+				_, _ = nc.Write([]byte(text))
+				return false
+			}), headers)
+			r := do(t, c, call("q"))
+			require.Error(t, r.Err)
+			require.True(t, r.Sent)
+			require.False(t, r.Rejected)
+		})
+	}
+}
+
+// An answer without a length ends with its connection. One that is reset is not
+// whole.
+func TestAnswerWithoutLength(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + headers.Attempt + ": q\r\n" + headers.Seal + ": s\r\n\r\nhello"
+	whole := New(script(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+		_, _ = nc.Write([]byte(head))
+		return false
+	}), headers)
+	require.Equal(t, "hello", string(do(t, whole, call("q")).Body))
+	reset := New(script(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+		_, _ = nc.Write([]byte(head))
+		time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		return false
+	}), headers)
+	require.Error(t, do(t, reset, call("q")).Err)
+}
+
+func TestOnlyTheBackendServerProvesThatNothingRan(t *testing.T) {
+	tests := []struct {
+		name, text string
+		rejected   bool
+	}{
+		{"full", "HTTP/1.1 503 Service Unavailable\r\n" + headers.Rejected + ": 1\r\nContent-Length: 0\r\n\r\n", true},
+		{"another instance", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", true},
+		{"503 of its own", "HTTP/1.1 503 Service Unavailable\r\n" + headers.Attempt + ": q\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := New(script(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+				_, _ = nc.Write([]byte(x.text))
+				return true
+			}), headers)
+			r := do(t, c, call("q"))
+			require.NoError(t, r.Err)
+			require.Equal(t, x.rejected, r.Rejected)
+		})
+	}
+}
+
+// A backend server may answer before it has read a long body. The connection is
+// not used again, so that no request follows where the rest of the body is due.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	c := New(script(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		_, _ = nc.Write([]byte("HTTP/1.1 413 Too Large\r\n" + headers.Attempt + ": q\r\nContent-Length: 0\r\n\r\n"))
+		time.Sleep(50 * time.Millisecond) // reads none of the body
+		return false
+	}), headers)
+	x := call("q")
+	x.Method = "POST"
+	x.Body = []byte(strings.Repeat("x", 8<<20))
+	r := do(t, c, x)
+	require.NoError(t, r.Err)
+	require.Equal(t, 413, r.Status)
+	require.Empty(t, c.idle)
+}
+
+// A request that must not run twice takes no connection that was idle for long,
+// since a backend server may have dropped it unseen.
+func TestOnceRequestsTakeYoungConnections(t *testing.T) {
+	c := New(script(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		_, _ = nc.Write([]byte(ok(r.Header.Get(headers.Attempt), "")))
+		return true
+	}), headers)
+	require.NoError(t, do(t, c, call("q1")).Err)
+	c.idle[0].used = time.Now().Add(-onceIdle - time.Millisecond)
+	once := call("q2")
+	once.Idempotent = false
+	require.NoError(t, do(t, c, once).Err)
+	require.Equal(t, int64(2), c.Dials())
+	require.NoError(t, do(t, c, call("q3")).Err)
+	require.Equal(t, int64(2), c.Dials())
+}
+
+func TestNothingSentWhereNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	r := do(t, New(addr, headers), call("q"))
+	require.Error(t, r.Err)
+	require.False(t, r.Sent)
+}
+
+func TestCancellationClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	c := New(script(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+		var b [1]byte
+		_, _ = nc.Read(b[:]) // returns when the client closes
+		close(closed)
+		return false
+	}), headers)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	r := c.Do(ctx, call("q"), "i-1", time.Second)
+	require.Error(t, r.Err)
+	require.True(t, r.Sent)
+	<-closed
+}
+
+func TestKeepAliveTime(t *testing.T) {
+	tests := map[string]time.Duration{"": 0, "timeout=5": 5 * time.Second, "max=3, Timeout=7": 7 * time.Second, "timeout=x": 0, "timeout=-1": 0}
+	for v, want := range tests {
+		require.Equal(t, want, keepAliveTime(v), v)
+	}
+}
