Nodes hand each other deltas of the configuration, on links of their own

Cause: on the grown site a revision is 350 KB and links carry 5 Mbit/s; each node fetched it whole from other zones, and calls on the same links were taken for lost after 300 ms of silence.

--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -68,12 +68,20 @@
 		}
 		return method.Encode(n.target.Run(ctx, &call))
 	case method.Document:
-		return n.keeper.Document(), nil
+		var have uint64
+		if err := method.Decode(payload, &have); err != nil {
+			return nil, err
+		}
+		return n.keeper.Since(have)
 	}
 	return nil, errors.Newf("unknown method %d", m)
 }
 
-// fetchDocument asks another node for its newest document.
-func (n *Node) fetchDocument(ctx context.Context, addr string) ([]byte, error) {
-	return n.pool.Request(ctx, addr, method.Document, nil)
+// fetch asks another node for what follows a revision.
+func (n *Node) fetch(ctx context.Context, addr string, have uint64) ([]byte, error) {
+	payload, err := method.Encode(&have)
+	if err != nil {
+		return nil, err
+	}
+	return n.bulk.Request(ctx, addr, method.Document, payload)
 }
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -46,6 +46,10 @@
 )
 
 const (
+	// linkSilence is how long a link with calls on it may be silent, and bulkSilence
+	// one that carries a configuration.
+	linkSilence       = 700 * time.Millisecond
+	bulkSilence       = 2 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	// An address that is still in use is tried again, so often and after so long.
 	listenRetry = 50 * time.Millisecond
@@ -68,8 +72,11 @@
 	logger   *zap.Logger
 	epoch    int64
 
-	timers   *timer.Service
-	pool     *mux.Pool
+	timers *timer.Service
+	pool   *mux.Pool
+	// bulk has connections of its own, so that a whole configuration on a slow link
+	// delays no call.
+	bulk     *mux.Pool
 	links    *mux.Server
 	fleet    *fleet.Fleet
 	keeper   *revision.Keeper
@@ -117,10 +124,11 @@
 	s := &n.settings
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.pool = mux.NewPool(netio.New(), n.timers)
+	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence))
+	n.bulk = mux.NewPool(netio.New(), n.timers, mux.WithSilence(bulkSilence), mux.WithHeartbeat(bulkSilence/4))
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithChanged(n.instanceChanged))
-	n.keeper = revision.New(n.platform.Source, n.fetchDocument, revision.WithLogger(n.logger), revision.WithChanged(n.tell), revision.WithReader(n.isReader))
+	n.keeper = revision.New(n.platform.Source, n.fetch, revision.WithLogger(n.logger), revision.WithChanged(n.revisionChanged), revision.WithReader(n.isReader))
 	n.fleet = fleet.New(s.Links, conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
 	n.dispatch = dispatch.New(s.Links, s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter),
@@ -135,6 +143,14 @@
 	}
 }
 
+// revisionChanged tells the own zone, if this node is the one that follows the
+// source for it. The others hear of it with the next beat.
+func (n *Node) revisionChanged() {
+	if n.fleet != nil && n.isReader() {
+		n.fleet.TellZone(n.settings.Zone)
+	}
+}
+
 func (n *Node) limits() cicadaseam.Limits {
 	if t := n.keeper.Table(); t != nil {
 		return t.Limits
@@ -210,6 +226,7 @@
 func (n *Node) start(ctx context.Context) {
 	n.duty(func() { n.timers.Run(ctx) })
 	n.duty(func() { n.pool.Run(ctx) })
+	n.duty(func() { n.bulk.Run(ctx) })
 	n.duty(func() { n.links.Serve(n.listeners.links) })
 	n.duty(func() { n.fleet.Run(ctx) })
 	n.duty(func() { n.keeper.Run(ctx) })
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -107,7 +107,7 @@
 	entries  map[string]*entry
 	sequence uint64
 	peers    atomic.Pointer[[]Peer]
-	soon     chan struct{}
+	soon     chan string // the zone that is told, or all
 	counts   Counters
 }
 
@@ -143,7 +143,7 @@
 		onBeat:  func(Beat) {},
 		now:     time.Now,
 		entries: map[string]*entry{},
-		soon:    make(chan struct{}, 1),
+		soon:    make(chan string, 4),
 	}
 	f.peers.Store(&[]Peer{})
 	for _, opt := range opts {
@@ -190,11 +190,17 @@
 	}
 }
 
+// allZones stands for the nodes of every zone.
+const allZones = ""
+
 // Tell sends a beat to all nodes soon, because the own state changed.
-func (f *Fleet) Tell() {
+func (f *Fleet) Tell() { f.TellZone(allZones) }
+
+// TellZone sends a beat to the nodes of a zone soon.
+func (f *Fleet) TellZone(zone string) {
 	select {
-	case f.soon <- struct{}{}:
-	default:
+	case f.soon <- zone:
+	default: // enough beats are due
 	}
 }
 
@@ -215,21 +221,21 @@
 			f.expire(now)
 			if now.Sub(last) >= f.Period()-f.period/2 {
 				last = now
-				f.send(now)
+				f.send(now, allZones)
 			}
-		case <-f.soon:
-			f.send(f.now())
+		case zone := <-f.soon:
+			f.send(f.now(), zone)
 		}
 	}
 }
 
-// send sends a beat to every address.
-func (f *Fleet) send(now time.Time) {
+// send sends a beat to every address of a zone.
+func (f *Fleet) send(now time.Time, zone string) {
 	beat := f.sample(now)
 	f.mu.Lock()
 	f.sequence++
 	beat.Sequence = f.sequence
-	addrs := f.due(now)
+	addrs := f.due(now, zone)
 	f.mu.Unlock()
 	body, err := pack.Marshal(&beat)
 	if err != nil {
@@ -244,10 +250,13 @@
 }
 
 // due returns the addresses that get a beat now; silent ones get a part.
-func (f *Fleet) due(now time.Time) []string {
+func (f *Fleet) due(now time.Time, zone string) []string {
 	addrs := make([]string, 0, len(f.entries))
 	silence := f.silence()
 	for a, e := range f.entries {
+		if zone != allZones && e.peer.Beat.Zone != zone {
+			continue
+		}
 		if now.Sub(e.heard()) > 2*silence {
 			e.skipped++
 			if e.skipped%silentShare != 0 {
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -66,11 +66,11 @@
 	f.expire(later)
 	require.Empty(t, f.Peers())
 	for range silentShare {
-		f.send(epoch.Add(10 * time.Second))
+		f.send(epoch.Add(10*time.Second), allZones)
 	}
 	require.Equal(t, 1, s.sent["a"])
 	f.expire(epoch.Add(forgetAfter + time.Second))
-	f.send(epoch.Add(forgetAfter + time.Second))
+	f.send(epoch.Add(forgetAfter+time.Second), allZones)
 	require.Equal(t, 1, s.sent["a"])
 }
 
@@ -78,7 +78,7 @@
 	f, s := newFleet()
 	f.Learn([]string{"self", "", "b"})
 	f.Take(epoch, beat("a", 1, 1))
-	f.send(epoch)
+	f.send(epoch, allZones)
 	require.Equal(t, map[string]int{"a": 1, "b": 1}, s.sent)
 }
 
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -4,10 +4,11 @@
 //
 // A Keeper holds one immutable route.Table. A few nodes, the readers, follow a
 // RevisionSource by long polls; all hear from each other how far they are. A node
-// that is behind fetches the document from a node of its own zone at once, and from
-// one of another zone after a moment, so that a node which the source does not
-// serve stays current too. However a document comes, it is decoded whole, checked,
-// and swapped in only if its number is higher.
+// that is behind fetches from a node of its own zone at once, and from one of
+// another zone after a moment, so that a node which the source does not serve stays
+// current too. What it fetches are the deltas from what it has, or the whole
+// revision. However a revision comes, it is put together whole, checked, and swapped
+// in only if its number is higher.
 //
 // # Invariants
 //
@@ -41,8 +42,10 @@
 	pollWait = 10 * time.Second
 	// gatherTime is the pause after a document, so that a quick succession of
 	// versions costs fewer polls.
-	gatherTime   = 250 * time.Millisecond
-	callTimeout  = 2 * time.Second
+	gatherTime  = 250 * time.Millisecond
+	callTimeout = 2 * time.Second
+	// maxDeltas bounds the deltas that are kept for nodes that are behind.
+	maxDeltas    = 32
 	backoffFirst = 100 * time.Millisecond
 	backoffCap   = time.Second
 	// behindFor is how long a node waits for news from its own zone before it
@@ -51,11 +54,11 @@
 	// dutyPeriod is how often a node looks whether it has become a reader, and
 	// checkPeriod how often one that is none asks the source all the same.
 	dutyPeriod  = 250 * time.Millisecond
-	checkPeriod = 15 * time.Second
+	checkPeriod = time.Minute
 )
 
-// Fetch asks another node for its newest document.
-type Fetch func(ctx context.Context, addr string) ([]byte, error)
+// Fetch asks another node for what follows a revision.
+type Fetch func(ctx context.Context, addr string, have uint64) ([]byte, error)
 
 // Keeper holds the configuration in force. It is safe for concurrent use.
 type Keeper struct {
@@ -69,7 +72,8 @@
 	table atomic.Pointer[route.Table]
 
 	mu       sync.Mutex
-	document []byte
+	current  *cicadaseam.Revision
+	deltas   []Delta // the last ones, in order
 	fetching bool
 	wanted   wanted
 	ready    chan struct{}
@@ -117,21 +121,72 @@
 	return 0
 }
 
-// Document returns the document in force, for other nodes.
-func (k *Keeper) Document() []byte {
+// Since returns what a node needs that has a revision.
+func (k *Keeper) Since(have uint64) ([]byte, error) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.document
+	u := k.update(have)
+	k.mu.Unlock()
+	return u.encode()
+}
+
+// update returns the deltas from a revision, or the whole one. The lock is held.
+func (k *Keeper) update(have uint64) *Update {
+	for i := range k.deltas {
+		if k.deltas[i].From == have {
+			return &Update{Deltas: k.deltas[i:]}
+		}
+	}
+	return &Update{Whole: k.current}
 }
 
-// Take applies a document if it is later than what is in force. from names where
-// it came from.
-func (k *Keeper) Take(data []byte, from string) error {
+// Take applies a document of the source if it is later than what is in force.
+func (k *Keeper) Take(data []byte) error {
 	r, err := k.source.Decode(data)
 	if err != nil {
-		k.logger.Warn("configuration rejected", zap.String("from", from), zap.Error(err))
+		k.logger.Warn("configuration rejected", zap.String("from", fromSource), zap.Error(err))
 		return err
 	}
+	return k.takeRevision(r, fromSource)
+}
+
+// fromSource stands in the log for the source, beside the addresses of nodes.
+const fromSource = "source"
+
+// takeUpdate applies what another node handed over.
+func (k *Keeper) takeUpdate(data []byte, from string) error {
+	u, err := decodeUpdate(data)
+	if err != nil {
+		return err
+	}
+	if u.Whole != nil {
+		return k.takeRevision(u.Whole, from)
+	}
+	for i := range u.Deltas {
+		d := &u.Deltas[i]
+		if d.To <= k.Number() {
+			continue
+		}
+		next, err := d.apply(k.Current())
+		if err != nil {
+			return err
+		}
+		if err := k.takeRevision(next, from); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Current returns the revision in force, or nil.
+func (k *Keeper) Current() *cicadaseam.Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current
+}
+
+// takeRevision checks a revision and puts it in force if it is later. from names
+// where it came from.
+func (k *Keeper) takeRevision(r *cicadaseam.Revision, from string) error {
 	if r.Number <= k.Number() {
 		return nil
 	}
@@ -140,7 +195,7 @@
 		k.logger.Warn("configuration rejected", zap.String("from", from), zap.Uint64("revision", r.Number), zap.Error(err))
 		return err
 	}
-	if !k.swap(t, data) {
+	if !k.swap(t, r) {
 		return nil
 	}
 	k.logger.Info("configuration applied", zap.String("from", from), zap.Uint64("revision", t.Number), zap.Int("routes", t.Len()))
@@ -149,17 +204,22 @@
 }
 
 // swap puts a table in force unless a later one is.
-func (k *Keeper) swap(t *route.Table, data []byte) bool {
+func (k *Keeper) swap(t *route.Table, r *cicadaseam.Revision) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	old := k.table.Load()
-	if old != nil && old.Number >= t.Number {
+	old := k.current
+	if old != nil && old.Number >= r.Number {
 		return false
 	}
 	k.table.Store(t)
-	k.document = data
+	k.current = r
 	if old == nil {
 		close(k.ready)
+		return true
+	}
+	k.deltas = append(k.deltas, diff(old, r))
+	if len(k.deltas) > maxDeltas {
+		k.deltas = append([]Delta(nil), k.deltas[1:]...)
 	}
 	return true
 }
@@ -249,7 +309,7 @@
 	if d.Data == nil {
 		return false
 	}
-	_ = k.Take(d.Data, "source") // a fault is logged and changes nothing
+	_ = k.Take(d.Data) // a fault is logged and changes nothing
 	return true
 }
 
@@ -326,10 +386,11 @@
 func (k *Keeper) fetchFrom(ctx context.Context, w wanted) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := k.fetch(ctx, w.addr)
+	data, err := k.fetch(ctx, w.addr, k.Number())
+	if err == nil {
+		err = k.takeUpdate(data, w.addr)
+	}
 	if err != nil {
 		k.logger.Info("configuration not fetched", zap.String("peer", w.addr), zap.Uint64("revision", w.number), zap.Error(err))
-		return
 	}
-	_ = k.Take(data, w.addr) // a fault is logged and changes nothing
 }
--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -93,20 +93,19 @@
 	return r, nil
 }
 
-func noFetch(context.Context, string) ([]byte, error) { return nil, errors.New("nobody") }
+func noFetch(context.Context, string, uint64) ([]byte, error) { return nil, errors.New("nobody") }
 
 func TestNeverBackAndNeverInPart(t *testing.T) {
 	k := New(newSource(), noFetch)
-	require.NoError(t, k.Take([]byte("5"), "test"))
+	require.NoError(t, k.Take([]byte("5")))
 	first := k.Table()
-	require.NoError(t, k.Take([]byte("3"), "test"))
-	require.NoError(t, k.Take([]byte("5"), "test"))
-	require.Error(t, k.Take([]byte("19"), "test"))
-	require.Error(t, k.Take([]byte("garbage"), "test"))
+	require.NoError(t, k.Take([]byte("3")))
+	require.NoError(t, k.Take([]byte("5")))
+	require.Error(t, k.Take([]byte("19")))
+	require.Error(t, k.Take([]byte("garbage")))
 	require.Same(t, first, k.Table())
-	require.NoError(t, k.Take([]byte("7"), "test"))
+	require.NoError(t, k.Take([]byte("7")))
 	require.Equal(t, uint64(7), k.Number())
-	require.Equal(t, "7", string(k.Document()))
 }
 
 func TestReaderFollowsTheSource(t *testing.T) {
@@ -157,19 +156,23 @@
 		s := newSource()
 		s.setDown(true)
 		asked := ""
-		k := New(s, func(_ context.Context, addr string) ([]byte, error) {
+		other := New(newSource(), noFetch)
+		require.NoError(t, other.Take([]byte("4")))
+		k := New(s, func(_ context.Context, addr string, have uint64) ([]byte, error) {
 			asked = addr
-			return []byte("4"), nil
+			return other.Since(have)
 		})
 		k.Heard(t.Context(), "far", 4, false)
 		time.Sleep(time.Millisecond)
 		require.Equal(t, uint64(4), k.Number()) // one without a table does not wait
+		require.NoError(t, other.Take([]byte("5")))
 		k.Heard(t.Context(), "far", 5, false)
 		time.Sleep(behindFor / 2)
 		require.Equal(t, uint64(4), k.Number())
 		k.Heard(t.Context(), "near", 5, true)
 		time.Sleep(behindFor)
 		require.Equal(t, "near", asked)
+		require.Equal(t, uint64(5), k.Number())
 	})
 }
 
@@ -191,3 +194,47 @@
 		require.Equal(t, uint64(2), k.Number())
 	})
 }
+
+func routeNamed(name string, weight int) cicadaseam.MeshRoute {
+	return cicadaseam.MeshRoute{Name: name, Host: "a.example", Prefix: "/" + name + "/", Timeout: time.Second, Shares: []cicadaseam.Share{{Service: "s", Weight: weight}}}
+}
+
+func TestDeltasLeadToTheSameRevision(t *testing.T) {
+	old := &cicadaseam.Revision{Number: 3, Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("b", 1), routeNamed("c", 1)}}
+	next := &cicadaseam.Revision{Number: 8, Limits: cicadaseam.Limits{BodyBytes: 5}, Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("c", 2), routeNamed("d", 1)}}
+	d := diff(old, next)
+	require.Len(t, d.Changed, 2)
+	require.Equal(t, []string{"b"}, d.Removed)
+	got, err := d.apply(old)
+	require.NoError(t, err)
+	require.Equal(t, next.Number, got.Number)
+	require.Equal(t, next.Limits, got.Limits)
+	require.ElementsMatch(t, next.Routes, got.Routes)
+	_, err = d.apply(next)
+	var chain *ChainError
+	require.ErrorAs(t, err, &chain)
+}
+
+// A node that has a revision which the other one has passed gets the deltas; one
+// that has none, or too old a one, gets the whole.
+func TestUpdateForANodeThatIsBehind(t *testing.T) {
+	k := New(newSource(), noFetch)
+	behind := New(newSource(), noFetch)
+	for n := 1; n <= 60; n++ {
+		_ = k.Take([]byte(strconv.Itoa(n))) // each tenth is faulty
+		if n == 55 {
+			require.NoError(t, behind.Take([]byte("55")))
+		}
+	}
+	require.Len(t, k.update(55).Deltas, 4)
+	require.NotNil(t, k.update(0).Whole)
+	require.NotNil(t, k.update(3).Whole)
+	for _, x := range []*Keeper{behind, New(newSource(), noFetch)} {
+		data, err := k.Since(x.Number())
+		require.NoError(t, err)
+		require.NoError(t, x.takeUpdate(data, "peer"))
+		require.Equal(t, uint64(60), x.Number())
+		require.Equal(t, k.Current(), x.Current())
+	}
+	require.Error(t, behind.takeUpdate([]byte("garbage"), "peer"))
+}
