--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -280,7 +280,7 @@
 			x.lastCause = cicadaseam.ReasonDeadline
 			break
 		}
-		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now)}, d.candidates(now, x.call.Service), x.asked)
+		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now), Idempotent: x.route.Idempotent}, d.candidates(now, x.call.Service), x.asked)
 		if !ok {
 			break
 		}
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -26,6 +26,10 @@
 	busyCost = 0.02
 	// noise keeps nodes with the same news from choosing the same target.
 	noise = 0.01
+	// tryGain draws one request of each node of a zone to a backend server there that
+	// it has not used, tryAfter after it was first seen.
+	tryGain  = 0.15
+	tryAfter = 3 * time.Second
 	// usualPace is the pace of a target that told none, in thousandths.
 	usualPace = 330
 	thousand  = 1000
@@ -63,6 +67,8 @@
 	failures int
 	avoid    time.Time
 	instance string
+	seen     time.Time
+	used     bool
 }
 
 // Placer chooses the target of a request. It is a plain state machine behind a
@@ -80,7 +86,8 @@
 	Route     string
 	Objective time.Duration
 	// Left is the time until its answer is late.
-	Left time.Duration
+	Left       time.Duration
+	Idempotent bool
 }
 
 // NewPlacer returns a placer for a node in a zone.
@@ -110,11 +117,11 @@
 		if tried[c.Addr] {
 			continue
 		}
-		t := p.track(c)
+		t := p.track(now, c)
 		if now.Before(t.avoid) {
 			continue
 		}
-		cost, work, wait := p.cost(t, c, need)
+		cost, work, wait := p.cost(now, t, c, need)
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 			choice = Choice{Candidate: *c, Work: work, Wait: wait}
@@ -126,18 +133,19 @@
 	t := p.tracks[choice.Candidate.Addr]
 	t.inFlight++
 	t.sent++
+	t.used = true
 	return choice, true
 }
 
 // track returns what is known of a candidate; newer news from its beat are taken.
-func (p *Placer) track(c *Candidate) *track {
+func (p *Placer) track(now time.Time, c *Candidate) *track {
 	t := p.tracks[c.Addr]
 	if t == nil || t.instance != c.Instance {
 		in := 0
 		if t != nil {
 			in = t.inFlight
 		}
-		t = &track{instance: c.Instance, inFlight: in}
+		t = &track{instance: c.Instance, inFlight: in, seen: now}
 		p.tracks[c.Addr] = t
 	}
 	if c.Heard.After(t.loadAt) {
@@ -153,7 +161,7 @@
 }
 
 // cost estimates what it costs to send a request to a target now.
-func (p *Placer) cost(t *track, c *Candidate, need Need) (cost float64, work, wait time.Duration) {
+func (p *Placer) cost(now time.Time, t *track, c *Candidate, need Need) (cost float64, work, wait time.Duration) {
 	pace := t.load.Pace
 	if pace == 0 {
 		pace = usualPace
@@ -168,6 +176,9 @@
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
+	if need.Idempotent && !t.used && c.Zone == p.zone && now.Sub(t.seen) > tryAfter {
+		cost -= tryGain
+	}
 	if c.Zone != p.zone {
 		cost += farCostPerKB * (overheadKB + p.sizes[need.Route]/kilobyte)
 	}
--- a/internal/mesh/dispatch/place_test.go
+++ b/internal/mesh/dispatch/place_test.go
@@ -149,3 +149,22 @@
 		})
 	}
 }
+
+// A backend server that came later is tried once by each node of its zone, though
+// the others are enough.
+func TestNewBackendServersAreTried(t *testing.T) {
+	p := newPlacer()
+	repeatable := need
+	repeatable.Idempotent = true
+	quick := candidate("quick", "north", cicadaseam.MeshLoad{Pace: 100})
+	fresh := candidate("fresh", "north", cicadaseam.MeshLoad{Pace: 450})
+	counts := map[string]int{}
+	for i := range 50 {
+		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
+		quick.Heard, fresh.Heard = now, now
+		choice, ok := p.Pick(now, repeatable, []Candidate{quick, fresh}, map[string]bool{})
+		require.True(t, ok)
+		counts[choice.Candidate.Addr]++
+	}
+	require.Equal(t, map[string]int{"quick": 49, "fresh": 1}, counts)
+}
