--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -89,6 +90,8 @@
 	Run(ctx context.Context, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer
 	Instance(now time.Time) (cicadaseam.Instance, bool)
 	Load(now time.Time) cicadaseam.MeshLoad
+	// Runs reports whether the backend server of this node runs a request now.
+	Runs(id string) bool
 }
 
 // Fleet is what the dispatcher needs of the other nodes.
@@ -188,6 +191,8 @@
 	onTime time.Time
 	// returning is set for a request that was refused before.
 	returning bool
+	// nested is set for a call that a backend server makes for a request it runs.
+	nested bool
 
 	asked   map[string]bool
 	offered int // backend servers that it reached
@@ -231,6 +236,7 @@
 		deadline:  r.Arrived.Add(min(left, rt.Timeout)),
 		onTime:    r.Arrived.Add(rt.Objective - spent),
 		returning: spent > returningAfter,
+		nested:    d.isNested(r.Header.Get(d.Headers.Attempt)),
 		asked:     map[string]bool{},
 	}
 	x.call = cicadaseam.MeshCall{
@@ -244,6 +250,7 @@
 		Objective:   rt.Objective,
 		Priority:    rt.Priority,
 		Idempotent:  rt.Idempotent,
+		Nested:      x.nested,
 		Headers:     d.forwarded(r.Header),
 		Fingerprint: quarantine.Fingerprint(d.Service, r.Method, r.Target, r.Body),
 	}
@@ -251,6 +258,13 @@
 	return x
 }
 
+// isNested reports whether an id extends that of a request which the backend server
+// beside this node runs. It decides nothing but the order of requests.
+func (d *Dispatcher) isNested(id string) bool {
+	at := strings.LastIndexByte(id, '.')
+	return at > 0 && d.local.Runs(id[:at])
+}
+
 // forwarded returns the headers that go on to the backend server. What the system
 // sets itself is never taken from a caller.
 func (d *Dispatcher) forwarded(h http.Header) []cicadaseam.Header {
@@ -329,8 +343,12 @@
 
 // allowedWait returns how long a request may wait for a slot. While it can be
 // answered on time it may wait for that; once it is late it takes what is free
-// soon, behind those that are on time.
+// soon, behind those that are on time. A nested call may wait as long as the request
+// that made it: refused, it would have wasted that one's slot.
 func allowedWait(now time.Time, x *exchange, work time.Duration) (wait time.Duration, late bool) {
+	if x.nested {
+		return max(x.deadline.Sub(now)-answerMargin-work, 0), false
+	}
 	rest := x.onTime.Sub(now)
 	wait = time.Duration(onTimeShare*float64(rest)) - work
 	if wait > 0 {
@@ -363,7 +381,7 @@
 		}
 	}
 	more := ctx.Err() == nil && x.offered < max(x.route.MaxTargets, 1)
-	d.logger.Info("attempt failed", zap.String("request", x.call.ID), zap.String("target", choice.Candidate.Node),
+	d.logger.Info("attempt failed", zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("target", choice.Candidate.Node),
 		zap.Stringer("outcome", a.Outcome), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Duration("queued", a.Queued), zap.Duration("ran", a.Ran), zap.Duration("room", a.Wait), zap.Bool("again", more),
 		zap.Duration("age", choice.Candidate.age(time.Now())), zap.Uint64("revision", x.revision))
@@ -401,7 +419,7 @@
 	if reason == cicadaseam.ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
-	d.logger.Info("request lost", zap.String("request", x.call.ID), zap.String("service", x.call.Service),
+	d.logger.Info("request lost", zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("route", x.route.Name), zap.Bool("nested", x.nested),
 		zap.String("reason", string(reason)), zap.Int("status", status), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
 	return &Reply{Status: status}, cicadaseam.OutcomeUnknown.String(), reason
 }
@@ -409,7 +427,7 @@
 // refuse answers that a request did not run and when to come back.
 func (d *Dispatcher) refuse(x *exchange, reason cicadaseam.Reason, after time.Duration) *Reply {
 	if x != nil {
-		d.logger.Info("request refused", zap.String("request", x.call.ID), zap.String("service", x.call.Service),
+		d.logger.Info("request refused", zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("route", x.route.Name), zap.Bool("nested", x.nested),
 			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(x.asked)),
 			zap.Bool("returning", x.returning), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
 	}
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -39,6 +39,8 @@
 
 func (noLocal) Instance(time.Time) (cicadaseam.Instance, bool) { return cicadaseam.Instance{}, false }
 
+func (noLocal) Runs(string) bool { return false }
+
 func (noLocal) Load(time.Time) cicadaseam.MeshLoad { return cicadaseam.MeshLoad{} }
 
 func newWorld(t *testing.T, idempotent bool) *world {
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -40,11 +40,14 @@
 	Refused
 )
 
-// Ranks of requests. Requests that are late take what the others leave.
+// Ranks of requests. Calls that a backend server makes for a request that it runs
+// go first: a request whose call is refused has wasted its slot. Requests that are
+// late take what the others leave.
 const (
-	RankFirst = 0 // priorities follow from here
-	RankLate  = 15
-	ranks     = RankLate + 1
+	RankNested = 0
+	RankFirst  = 1 // priorities follow from here
+	RankLate   = 15
+	ranks      = RankLate + 1
 )
 
 // Item is one request.
--- a/internal/mesh/target/stats.go
+++ b/internal/mesh/target/stats.go
@@ -16,6 +16,8 @@
 	// while it is cold.
 	coldFactor = 2.0
 	failShare  = 0.1
+	// fewSamples is the number of samples below which the pace decides nothing.
+	fewSamples = 20
 	// failFade is the time in which the memory of failures halves.
 	failFade = 2 * time.Second
 )
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -56,6 +56,7 @@
 
 	mu      sync.Mutex
 	keeper  keeper
+	running map[string]int // ids of the requests that run
 	server  *server
 	changed func()
 }
@@ -93,8 +94,7 @@
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, changed: func() {}}
-	t.keeper = newKeeper()
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, changed: func() {}, running: map[string]int{}, keeper: newKeeper()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -282,6 +282,9 @@
 	if reason := s.unfit(now, t.lease); reason != cicadaseam.ReasonNone {
 		return nil, nil, refusalLocked(now, s, reason, 0)
 	}
+	if call.Budget < s.least(call) {
+		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonDeadline, 0)
+	}
 	item := &slot.Item{Rank: rankOf(call), Due: now.Add(call.Due), Wait: call.Wait, Ready: make(chan bool, 1)}
 	verdict, wait := s.queue.Offer(now, item)
 	switch verdict {
@@ -294,9 +297,23 @@
 	return s, item, nil
 }
 
+// hopelessShare is the part of the expected time below which a request is not
+// started: it would take a slot and hardly ever end in time.
+const hopelessShare = 0.7
+
+// least returns the least time that a request must have left to be worth a slot.
+func (s *server) least(call *cicadaseam.MeshCall) time.Duration {
+	if s.stats.samples < fewSamples {
+		return 0
+	}
+	return time.Duration(hopelessShare * s.stats.pace * float64(call.Objective))
+}
+
 // rankOf returns the rank in which a request waits.
 func rankOf(call *cicadaseam.MeshCall) int {
 	switch {
+	case call.Nested:
+		return slot.RankNested
 	case call.Late:
 		return slot.RankLate
 	case call.Returning:
@@ -365,8 +382,27 @@
 	s.queue.Done(time.Now(), took)
 }
 
+// Runs reports whether a request runs here now.
+func (t *Target) Runs(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running[id] > 0
+}
+
+// mark counts a request as running or no longer so.
+func (t *Target) mark(id string, by int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running[id] += by
+	if t.running[id] <= 0 {
+		delete(t.running, id)
+	}
+}
+
 // send runs a request that has a slot.
 func (t *Target) send(ctx context.Context, s *server, call *cicadaseam.MeshCall, left time.Duration) *cicadaseam.MeshAnswer {
+	t.mark(call.ID, 1)
+	defer t.mark(call.ID, -1)
 	began := time.Now()
 	result := s.client.Do(ctx, call, s.instance.ID, left)
 	took := time.Since(began)
--- a/mesh.go
+++ b/mesh.go
@@ -83,17 +83,17 @@
 
 // Instance is one start of a backend server, as it announces itself.
 type Instance struct {
-	ID      string       `msgpack:"i"`
-	Service string       `msgpack:"s"`
-	Addr    string       `msgpack:"a"`
-	Slots   int          `msgpack:"n"`
-	State   BackendState `msgpack:"t"`
+	ID      string
+	Service string
+	Addr    string
+	Slots   int
+	State   BackendState
 	// Cold is how long the backend server stays slow after its start.
-	Cold time.Duration `msgpack:"c"`
+	Cold time.Duration
 	// Sequence rises with each announcement of one start.
-	Sequence int64 `msgpack:"q"`
+	Sequence int64
 	// Born is the Unix millisecond of the start, or 0 when it is not told.
-	Born int64 `msgpack:"b"`
+	Born int64
 }
 
 // Newer reports whether x was announced after o by the same backend server.
@@ -136,60 +136,62 @@
 // MeshCall is a request on its way from the node that took it to the node that
 // runs it.
 type MeshCall struct {
-	ID      string   `msgpack:"i"`
-	Method  string   `msgpack:"m"`
-	Host    string   `msgpack:"o"`
-	Target  string   `msgpack:"u"`
-	Headers []Header `msgpack:"h"`
-	Body    []byte   `msgpack:"b"`
+	ID      string
+	Method  string
+	Host    string
+	Target  string
+	Headers []Header
+	Body    []byte
 	// Service runs the request; another one at the target refuses it.
-	Service string `msgpack:"s"`
-	Route   string `msgpack:"r"`
+	Service string
+	Route   string
 	// Budget is the time left until the answer is of no use.
-	Budget time.Duration `msgpack:"t"`
+	Budget time.Duration
 	// Wait is the longest time that the request may wait for a slot.
-	Wait time.Duration `msgpack:"w"`
+	Wait time.Duration
 	// Due is the time left until the answer is late.
-	Due time.Duration `msgpack:"e"`
+	Due time.Duration
 	// Objective is the route's objective, by which targets judge their pace.
-	Objective time.Duration `msgpack:"j"`
-	Priority  int           `msgpack:"p"`
+	Objective time.Duration
+	Priority  int
+	// Nested calls are made by a backend server for a request that it runs.
+	Nested bool
 	// Late requests can no longer be answered on time.
-	Late bool `msgpack:"l"`
+	Late bool
 	// Returning requests were refused before.
-	Returning   bool   `msgpack:"e"`
-	Idempotent  bool   `msgpack:"q"`
-	Fingerprint uint64 `msgpack:"f"`
+	Returning   bool
+	Idempotent  bool
+	Fingerprint uint64
 }
 
 // MeshAnswer is what came of a MeshCall. Body is complete.
 type MeshAnswer struct {
-	Outcome Outcome  `msgpack:"o"`
-	Status  int      `msgpack:"s"`
-	Headers []Header `msgpack:"h"`
-	Body    []byte   `msgpack:"b"`
-	Reason  Reason   `msgpack:"r"`
+	Outcome Outcome
+	Status  int
+	Headers []Header
+	Body    []byte
+	Reason  Reason
 	// Offered is set when the request reached the backend server, also if that
 	// rejected it.
-	Offered bool `msgpack:"x"`
+	Offered bool
 	// Wait is the time after which the target expects to have room, with a refusal.
-	Wait time.Duration `msgpack:"w"`
+	Wait time.Duration
 	// Queued and Ran are the times spent waiting for a slot and at the backend.
-	Queued time.Duration `msgpack:"q"`
-	Ran    time.Duration `msgpack:"d"`
-	Load   MeshLoad      `msgpack:"l"`
+	Queued time.Duration
+	Ran    time.Duration
+	Load   MeshLoad
 }
 
 // MeshLoad is what a target tells about itself.
 type MeshLoad struct {
-	Running int `msgpack:"r"`
-	Queued  int `msgpack:"q"`
-	Slots   int `msgpack:"s"`
+	Running int
+	Queued  int
+	Slots   int
 	// Wait is how long a request that comes now would wait for a slot.
-	Wait time.Duration `msgpack:"w"`
+	Wait time.Duration
 	// Pace is the mean share of the objective that the backend server takes, in
 	// thousandths.
-	Pace int `msgpack:"p"`
+	Pace int
 	// Failing is the share of recent requests that failed, in thousandths.
-	Failing int `msgpack:"f"`
+	Failing int
 }
