Short beats, twice as often in large fleets; a target whose link is not open yet gets one request

Cause: with 83 nodes a node that had lost power was a candidate for 5 s, and each request to it waited 500 ms for its link.

--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -48,8 +48,10 @@
 const (
 	// linkSilence is how long a link with calls on it may be silent, and bulkSilence
 	// one that carries a configuration.
-	linkSilence       = 700 * time.Millisecond
-	bulkSilence       = 2 * time.Second
+	linkSilence = 700 * time.Millisecond
+	bulkSilence = 2 * time.Second
+	// linkDial bounds the time in which a link opens.
+	linkDial          = 250 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	// An address that is still in use is tried again, so often and after so long.
 	listenRetry = 50 * time.Millisecond
@@ -124,7 +126,7 @@
 	s := &n.settings
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence))
+	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence), mux.WithDialTimeout(linkDial))
 	n.bulk = mux.NewPool(netio.New(), n.timers, mux.WithSilence(bulkSilence), mux.WithHeartbeat(bulkSilence/4))
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithChanged(n.instanceChanged))
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -30,6 +30,11 @@
 	// it has not used, tryAfter after it was first seen.
 	tryGain  = 0.15
 	tryAfter = 3 * time.Second
+	// unprovenCost is the cost of a target to which requests are under way while none
+	// has been answered since a link to it failed or it was first seen.
+	unprovenCost = 0.5
+	// provenAfter is when a link that has not failed is taken to be open.
+	provenAfter = 100 * time.Millisecond
 	// usualPace is the pace of a target that told none, in thousandths.
 	usualPace = 330
 	thousand  = 1000
@@ -69,6 +74,8 @@
 	instance string
 	seen     time.Time
 	used     bool
+	proven   bool
+	triedAt  time.Time // when the first request went to a target that is not proven
 }
 
 // Placer chooses the target of a request. It is a plain state machine behind a
@@ -131,6 +138,9 @@
 		return choice, false
 	}
 	t := p.tracks[choice.Candidate.Addr]
+	if t.inFlight == 0 {
+		t.triedAt = now
+	}
 	t.inFlight++
 	t.sent++
 	t.used = true
@@ -179,6 +189,9 @@
 	if need.Idempotent && !t.used && c.Zone == p.zone && now.Sub(t.seen) > tryAfter {
 		cost -= tryGain
 	}
+	if !t.proven && t.inFlight > 0 && !c.Local && now.Sub(t.triedAt) < provenAfter {
+		cost += unprovenCost
+	}
 	if c.Zone != p.zone {
 		cost += farCostPerKB * (overheadKB + p.sizes[need.Route]/kilobyte)
 	}
@@ -224,10 +237,12 @@
 	t.inFlight = max(t.inFlight-1, 0)
 	if answer.Reason == cicadaseam.ReasonLink {
 		t.failures++
+		t.proven = false
 		t.avoid = now.Add(min(avoidFirst<<min(t.failures-1, 8), avoidLimit))
 		return
 	}
 	t.failures = 0
+	t.proven = t.proven || answer.Reason != cicadaseam.ReasonDeadline && answer.Reason != cicadaseam.ReasonCanceled
 	if answer.Load.Slots > 0 {
 		t.take(now, answer.Load)
 	}
--- a/internal/mesh/dispatch/place_test.go
+++ b/internal/mesh/dispatch/place_test.go
@@ -67,8 +67,12 @@
 func TestRequestsSentSinceTheNewsCount(t *testing.T) {
 	p := newPlacer()
 	counts := map[string]int{}
+	near, far := candidate("near", "north", cicadaseam.MeshLoad{Pace: 330}), candidate("far", "south", cicadaseam.MeshLoad{Pace: 330})
+	pick(t, p, near, far)
+	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: near.Load})
+	p.Ended(epoch, "far", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: far.Load})
 	for range 40 {
-		counts[pick(t, p, candidate("near", "north", cicadaseam.MeshLoad{Pace: 330}), candidate("far", "south", cicadaseam.MeshLoad{Pace: 330}))]++
+		counts[pick(t, p, near, far)]++
 	}
 	require.Greater(t, counts["far"], 8)
 	require.GreaterOrEqual(t, counts["near"], 16)
@@ -168,3 +172,15 @@
 	}
 	require.Equal(t, map[string]int{"quick": 49, "fresh": 1}, counts)
 }
+
+// While a first request to a target is not answered, others go elsewhere: it may be
+// gone without a word.
+func TestUnprovenTargetGetsOneRequest(t *testing.T) {
+	p := newPlacer()
+	near, far := candidate("near", "north", cicadaseam.MeshLoad{}), candidate("far", "south", cicadaseam.MeshLoad{})
+	require.Equal(t, "near", pick(t, p, near, far))
+	require.Equal(t, "far", pick(t, p, near, far))
+	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan})
+	require.Equal(t, "near", pick(t, p, near, far))
+	require.Equal(t, "near", pick(t, p, near, far))
+}
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -11,6 +11,9 @@
 // still sent beats for a while, so that a process that starts there again learns
 // of the fleet without the directory.
 //
+// Most beats are short: they carry the load and what tells that the rest is as it
+// was. A whole one follows each change, and every few beats in any case.
+//
 // Load travels on beats and on every answer; nothing rests on it.
 //
 // # Usage
@@ -34,14 +37,18 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 )
 
-// Format is the first byte of each datagram.
-const Format = 0x31
+// Format and FormatShort are the first byte of a datagram with a whole and with a
+// short beat.
+const (
+	Format      = 0x31
+	FormatShort = 0x32
+)
 
 const (
 	// DefaultPeriod is the time between two beats in a small fleet.
 	DefaultPeriod = 500 * time.Millisecond
 	// smallFleet is the number of nodes from which on the period grows.
-	smallFleet = 24
+	smallFleet = 48
 	// maxStretch bounds how many times longer the period becomes.
 	maxStretch = 6
 	// missedBeats is the number of periods of silence that make a node suspect.
@@ -50,6 +57,8 @@
 	forgetAfter = time.Minute
 	// silentShare is the share of beats that a silent address still gets.
 	silentShare = 4
+	// wholeEach is how often a beat is whole though nothing changed.
+	wholeEach   = 8
 	maxDatagram = 4 << 10
 	maxPeers    = 4096
 )
@@ -77,6 +86,15 @@
 	Marks []cicadaseam.Mark
 }
 
+// short is a beat of a node whose state is as its last whole one told.
+type short struct {
+	Addr     string
+	Epoch    int64
+	Sequence uint64
+	Revision uint64
+	Load     cicadaseam.MeshLoad
+}
+
 // Peer is another node as this one sees it. It is immutable.
 type Peer struct {
 	Beat  Beat
@@ -106,6 +124,9 @@
 	mu       sync.Mutex
 	entries  map[string]*entry
 	sequence uint64
+	told     shapeOf // by the last whole beat
+	sinceAll int     // beats since the last whole one to all
+	met      bool    // a node was met that may know nothing of this one
 	peers    atomic.Pointer[[]Peer]
 	soon     chan string // the zone that is told, or all
 	counts   Counters
@@ -235,20 +256,48 @@
 	f.mu.Lock()
 	f.sequence++
 	beat.Sequence = f.sequence
+	whole := f.isWhole(zone, beat)
 	addrs := f.due(now, zone)
 	f.mu.Unlock()
-	body, err := pack.Marshal(&beat)
+	data, err := encode(beat, whole)
 	if err != nil {
 		f.logger.Error("beat not encoded", zap.Error(err))
 		return
 	}
-	data := append([]byte{Format}, body...)
 	for _, a := range addrs {
 		f.counts.Sent.Add(1)
 		_ = f.conn.Send(a, data) // a lost beat is followed by others
 	}
 }
 
+// isWhole decides whether a beat is whole. The lock is held.
+func (f *Fleet) isWhole(zone string, b Beat) bool {
+	if zone != allZones {
+		return true
+	}
+	f.sinceAll++
+	changed := shape(b) != f.told
+	if !changed && f.sinceAll < wholeEach && !f.met {
+		return false
+	}
+	f.told = shape(b)
+	f.sinceAll = 0
+	if changed {
+		f.sinceAll = wholeEach - 2 // one more follows soon, since one may be lost
+	}
+	f.met = false
+	return true
+}
+
+func encode(b Beat, whole bool) ([]byte, error) {
+	if whole {
+		body, err := pack.Marshal(&b)
+		return append([]byte{Format}, body...), err
+	}
+	body, err := pack.Marshal(&short{Addr: b.Addr, Epoch: b.Epoch, Sequence: b.Sequence, Revision: b.Revision, Load: b.Load})
+	return append([]byte{FormatShort}, body...), err
+}
+
 // due returns the addresses that get a beat now; silent ones get a part.
 func (f *Fleet) due(now time.Time, zone string) []string {
 	addrs := make([]string, 0, len(f.entries))
@@ -285,7 +334,7 @@
 		if err != nil {
 			return
 		}
-		beat, ok := decode(buf[:n])
+		beat, ok := f.decode(buf[:n])
 		if !ok {
 			f.counts.Bad.Add(1)
 			continue
@@ -295,15 +344,38 @@
 	}
 }
 
-func decode(data []byte) (Beat, bool) {
+// decode returns the beat in a datagram. A short one is completed by the last whole
+// one of the same process; without that it says nothing.
+func (f *Fleet) decode(data []byte) (Beat, bool) {
 	var b Beat
-	if len(data) < 2 || data[0] != Format {
+	if len(data) < 2 {
 		return b, false
 	}
-	if err := pack.Unmarshal(data[1:], &b); err != nil {
-		return b, false
+	switch data[0] {
+	case Format:
+		err := pack.Unmarshal(data[1:], &b)
+		return b, err == nil && b.Addr != "" && b.Node != ""
+	case FormatShort:
+		var s short
+		if err := pack.Unmarshal(data[1:], &s); err != nil {
+			return b, false
+		}
+		return f.complete(s)
 	}
-	return b, b.Addr != "" && b.Node != ""
+	return b, false
+}
+
+func (f *Fleet) complete(s short) (Beat, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[s.Addr]
+	if e == nil || !e.known || e.peer.Beat.Epoch != s.Epoch {
+		return Beat{}, false
+	}
+	b := e.peer.Beat
+	b.Sequence, b.Revision, b.Load = s.Sequence, s.Revision, s.Load
+	b.Marks = nil
+	return b, true
 }
 
 // Take takes a beat of another node.
@@ -328,6 +400,7 @@
 	met := !e.known || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
 	if met {
 		e.peer.First = now
+		f.met = true
 	}
 	changed := met || shape(e.peer.Beat) != shape(b)
 	e.known = true
@@ -347,11 +420,13 @@
 
 // shape is what matters of a beat beside its load.
 type shapeOf struct {
-	service, instance string
-	serving, leaving  bool
+	service, instance       string
+	serving, leaving, blind bool
 }
 
-func shape(b Beat) shapeOf { return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving} }
+func shape(b Beat) shapeOf {
+	return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving, b.Blind}
+}
 
 // fresh reports whether a beat is later than the last one of its address. A
 // process that started again is told by its epoch; clocks may step, so that a
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -86,7 +87,7 @@
 	f, _ := newFleet()
 	require.Equal(t, DefaultPeriod, f.Period())
 	for i := range 4 * smallFleet {
-		f.Learn([]string{string(rune('a'+i/26)) + string(rune('a'+i%26))})
+		f.Learn([]string{strconv.Itoa(i)})
 	}
 	require.Equal(t, 4*DefaultPeriod, f.Period())
 }
@@ -109,7 +110,8 @@
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
-			_, ok := decode(x.data)
+			f, _ := newFleet()
+			_, ok := f.decode(x.data)
 			require.Equal(t, x.want, ok)
 		})
 	}
@@ -121,8 +123,11 @@
 		f.Fatal(err)
 	}
 	f.Add(append([]byte{Format}, good...))
+	f.Add([]byte{FormatShort, 0x95})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if b, ok := decode(data); ok && b.Addr == "" {
+		known, _ := newFleet()
+		known.Take(epoch, beat("a", 1, 1))
+		if b, ok := known.decode(data); ok && b.Addr == "" {
 			t.Fatal("a beat without an address")
 		}
 	})
@@ -154,3 +159,44 @@
 	require.Len(t, other, 1)
 	require.NotEqual(t, one, other)
 }
+
+// A short beat stands for the last whole one of the same process, and only for that.
+func TestShortBeats(t *testing.T) {
+	f, _ := newFleet()
+	next := beat("a", 1, 2)
+	next.Load.Queued = 7
+	data, err := encode(next, false)
+	require.NoError(t, err)
+	_, ok := f.decode(data)
+	require.False(t, ok) // nothing is known of a yet
+	f.Take(epoch, beat("a", 1, 1))
+	got, ok := f.decode(data)
+	require.True(t, ok)
+	require.Equal(t, next, got)
+	whole, err := encode(next, true)
+	require.NoError(t, err)
+	require.Less(t, len(data), len(whole))
+	f.Take(epoch.Add(time.Millisecond), beat("a", 2, 1))
+	_, ok = f.decode(data)
+	require.False(t, ok) // a is another process now
+}
+
+func TestWholeBeatsFollowChanges(t *testing.T) {
+	f, _ := newFleet()
+	b := beat("self", 1, 1)
+	require.True(t, f.isWhole(allZones, b))
+	require.False(t, f.isWhole(allZones, b))
+	require.True(t, f.isWhole(allZones, b)) // once more, since one may be lost
+	require.False(t, f.isWhole(allZones, b))
+	b.Serving = false
+	require.True(t, f.isWhole(allZones, b))
+	whole := 0
+	for range 2*wholeEach + 2 {
+		if f.isWhole(allZones, b) {
+			whole++
+		}
+	}
+	require.Equal(t, 3, whole)
+	f.Take(epoch, beat("a", 1, 1))
+	require.True(t, f.isWhole(allZones, b)) // a was met
+}
