--- a/internal/command/cli/sidecar.go
+++ b/internal/command/cli/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -10,12 +11,14 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/sidecar"
 	"github.com/cicadaseam/cicadaseam/platform"
 )
 
 type sidecarCommand struct {
 	Settings string `arg:"positional" help:"INI file with the settings; the platform names it when left out"`
+	Check    bool   `arg:"--check" help:"check the settings and end"`
 }
 
 // sidecarCollect is the headroom of the garbage collector, in percent.
@@ -31,27 +34,35 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.out, settings.LogLevel)
-	if err != nil {
-		return err
+	if c.Check {
+		fmt.Fprintf(s.out, "%s: the settings are good\n", file)
+		return nil
 	}
-	store := platform.NewStore(settings.Store, func(string, string) {})
+	lines := decision.New(s.out)
+	defer lines.Close()
+	level := zap.NewAtomicLevel()
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+		return &usageError{reason: err.Error()}
+	}
+	logger := zap.New(lines.Core(level)).With(zap.String("node", settings.Name))
+	meter := sidecar.NewMeter()
+	store := platform.NewStore(settings.Store, meter.StoreCall)
 	p := sidecar.Platform{
 		Source:    store,
 		Directory: store,
 		Headers:   platform.Headers(),
 		Registry:  func(to *sidecar.Instances) http.Handler { return platform.NewRegistry(to, logger) },
 	}
-	n, err := sidecar.New(*settings, p, sidecar.WithLogger(logger.With(zap.String("node", settings.Name))))
+	n, err := sidecar.New(*settings, p, sidecar.WithLogger(logger), sidecar.WithMeter(meter), sidecar.WithDropped(lines.Lost))
 	if err != nil {
 		return err
 	}
-	go reloads(ctx, n, file, logger)
+	go reloads(ctx, n, file, logger, level)
 	return n.Run(ctx)
 }
 
 // reloads takes the settings anew with each SIGHUP. Bad ones change nothing.
-func reloads(ctx context.Context, n *sidecar.Node, file string, logger *zap.Logger) {
+func reloads(ctx context.Context, n *sidecar.Node, file string, logger *zap.Logger, level zap.AtomicLevel) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	for {
@@ -61,6 +72,9 @@
 		case <-hup:
 		}
 		settings, err := sidecar.Load(file)
+		if err == nil {
+			err = level.UnmarshalText([]byte(settings.LogLevel))
+		}
 		if err != nil {
 			logger.Error("settings not reloaded, the old ones hold", zap.Error(err))
 			continue
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -11,6 +11,7 @@
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
+	"github.com/cicadaseam/cicadaseam/internal/link/method"
 )
 
 // Keys of the directory: "node/" and the name of a node, "left/" and the id of an
@@ -21,10 +22,15 @@
 )
 
 const (
-	joinTimeout  = 2 * time.Second
-	joinFirst    = 100 * time.Millisecond
-	joinCap      = time.Second
-	joinPatience = 1500 * time.Millisecond
+	joinTimeout = 2 * time.Second
+	joinFirst   = 100 * time.Millisecond
+	joinCap     = time.Second
+	// joinPatience is how long the directory is waited for before other nodes that
+	// found this one are asked instead.
+	joinPatience  = 400 * time.Millisecond
+	recallPeriod  = 100 * time.Millisecond
+	recallTimeout = 300 * time.Millisecond
+	recallPeers   = 3
 	// leaveTimeout bounds how long the acknowledgement of a leaving backend server
 	// waits for the directory.
 	leaveTimeout = 300 * time.Millisecond
@@ -39,7 +45,6 @@
 // join writes the record of this node and then reads those of the others. Of two
 // nodes that start together, the one that reads later finds the other.
 func (n *Node) join(ctx context.Context) {
-	began := time.Now()
 	written := false
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		err := n.tryJoin(ctx, &written)
@@ -49,13 +54,49 @@
 			return
 		}
 		n.logger.Warn("directory not reached", zap.Int("attempt", attempt), zap.Error(err))
-		if time.Since(began) > joinPatience && len(n.fleet.Peers()) > 0 {
-			n.joined.Store(true) // other nodes found this one
-		}
 		wait.Sleep(ctx, joinFirst/2+wait.Backoff(rand.Int64N, attempt, joinFirst, joinCap))
 	}
 }
 
+// joinThroughPeers joins without the directory, while that does not answer: nodes
+// that knew the address of this one send it beats, and remember what left here.
+func (n *Node) joinThroughPeers(ctx context.Context) {
+	wait.Sleep(ctx, joinPatience)
+	for !n.joined.Load() && wait.Sleep(ctx, recallPeriod) {
+		asked := 0
+		for _, p := range n.fleet.Peers() {
+			if asked < recallPeers && n.recall(ctx, p.Beat.Addr) {
+				asked++
+			}
+		}
+		if asked > 0 && n.keeper.Table() != nil {
+			n.joined.Store(true)
+			n.logger.Info("joined through other nodes", zap.Int("asked", asked))
+		}
+	}
+}
+
+// recall asks a node what left here.
+func (n *Node) recall(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	payload, err := method.Encode(&n.settings.Links)
+	if err != nil {
+		return false
+	}
+	data, err := n.bulk.Request(ctx, addr, method.Recall, payload)
+	var left []string
+	if err == nil {
+		err = method.Decode(data, &left)
+	}
+	if err != nil {
+		n.logger.Info("node did not say what left here", zap.String("peer", addr), zap.Error(err))
+		return false
+	}
+	n.target.Bind(time.Now(), left)
+	return true
+}
+
 func (n *Node) tryJoin(ctx context.Context, written *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -73,6 +73,13 @@
 			return nil, err
 		}
 		return n.keeper.Since(have)
+	case method.Recall:
+		var addr string
+		if err := method.Decode(payload, &addr); err != nil {
+			return nil, err
+		}
+		left := n.fleet.Recall(addr)
+		return method.Encode(&left)
 	}
 	return nil, errors.Newf("unknown method %d", m)
 }
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -16,16 +16,18 @@
 // sampleSize is the number of latencies kept for each histogram.
 const sampleSize = 256
 
-// meter counts what the node does, for its metrics page.
-type meter struct {
+// Meter counts what a node does, for its metrics page. It is safe for concurrent
+// use.
+type Meter struct {
 	mu       sync.Mutex
 	registry gometrics.Registry
 }
 
-func newMeter() *meter { return &meter{registry: gometrics.NewRegistry()} }
+// NewMeter returns a meter at zero.
+func NewMeter() *Meter { return &Meter{registry: gometrics.NewRegistry()} }
 
 // Replied implements dispatch.Observer.
-func (m *meter) Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration) {
+func (m *Meter) Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration) {
 	if reason == cicadaseam.ReasonNone {
 		reason = "none"
 	}
@@ -35,13 +37,13 @@
 }
 
 // StoreCall counts a call to the platform's store.
-func (m *meter) StoreCall(op, result string) { m.counter("store." + op + "." + result).Inc(1) }
+func (m *Meter) StoreCall(op, result string) { m.counter("store." + op + "." + result).Inc(1) }
 
-func (m *meter) counter(name string) gometrics.Counter {
+func (m *Meter) counter(name string) gometrics.Counter {
 	return gometrics.GetOrRegisterCounter(name, m.registry)
 }
 
-func (m *meter) histogram(name string) gometrics.Histogram {
+func (m *Meter) histogram(name string) gometrics.Histogram {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if h, ok := m.registry.Get(name).(gometrics.Histogram); ok {
@@ -53,7 +55,7 @@
 }
 
 // handler writes the metrics as text, one a line.
-func (m *meter) handler(n *Node) http.Handler {
+func (m *Meter) handler(n *Node) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
 		load := n.target.Load(now)
@@ -67,6 +69,13 @@
 			fmt.Sprintf("wait-us %d", load.Wait.Microseconds()),
 			fmt.Sprintf("pace-permille %d", load.Pace),
 			fmt.Sprintf("failing-permille %d", load.Failing),
+			fmt.Sprintf("log-lines-dropped %d", n.dropped()),
+			fmt.Sprintf("beats-sent %d", n.fleet.Counters().Sent.Load()),
+			fmt.Sprintf("beats-received %d", n.fleet.Counters().Received.Load()),
+			fmt.Sprintf("beats-bad %d", n.fleet.Counters().Bad.Load()),
+			fmt.Sprintf("link-dials %d", n.pool.Counters().Dials.Load()),
+			fmt.Sprintf("links-silent %d", n.pool.Counters().Silent.Load()),
+			fmt.Sprintf("revision-age-ms %d", n.keeper.Age(now).Milliseconds()),
 		}
 		m.registry.Each(func(name string, x any) {
 			switch v := x.(type) {
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -85,7 +85,8 @@
 	target   *target.Target
 	dispatch *dispatch.Dispatcher
 	front    *front.Server
-	meter    *meter
+	meter    *Meter
+	dropped  func() int64
 
 	listeners struct{ calls, ready, backend, links, metrics net.Listener }
 	servers   []*http.Server
@@ -102,10 +103,16 @@
 // WithLogger sets the logger.
 func WithLogger(l *zap.Logger) Option { return func(n *Node) { n.logger = l } }
 
+// WithMeter sets the meter, which others may count in too.
+func WithMeter(m *Meter) Option { return func(n *Node) { n.meter = m } }
+
+// WithDropped sets where the number of dropped log lines is found.
+func WithDropped(f func() int64) Option { return func(n *Node) { n.dropped = f } }
+
 // New returns a node that listens and does not work yet.
 func New(settings Settings, platform Platform, opts ...Option) (*Node, error) {
 	now := time.Now()
-	n := &Node{settings: settings, platform: platform, logger: zap.NewNop(), epoch: now.UnixNano(), meter: newMeter()}
+	n := &Node{settings: settings, platform: platform, logger: zap.NewNop(), epoch: now.UnixNano(), meter: NewMeter(), dropped: func() int64 { return 0 }}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -175,6 +182,7 @@
 		Instance: instance.ID,
 		Serving:  serving && n.isReady(),
 		Load:     n.target.Load(now),
+		Left:     n.target.Left(),
 	}
 }
 
@@ -233,6 +241,7 @@
 	n.duty(func() { n.fleet.Run(ctx) })
 	n.duty(func() { n.keeper.Run(ctx) })
 	n.duty(func() { n.join(ctx) })
+	n.duty(func() { n.joinThroughPeers(ctx) })
 	n.duty(func() { n.front.Serve(n.listeners.calls) })
 	n.serve(n.listeners.ready, http.HandlerFunc(n.answerReady))
 	n.serve(n.listeners.backend, n.platform.Registry(&Instances{node: n}))
--- a/internal/link/method/method.go
+++ b/internal/link/method/method.go
@@ -40,13 +40,15 @@
 	Run uint8 = 11
 	// Document asks for the configuration document in force.
 	Document uint8 = 12
+	// Recall asks which instances at an address were heard to leave.
+	Recall uint8 = 13
 )
 
 // Names are the names of the requests for metrics and logs.
 var Names = map[uint8]string{
 	Call: "call", Resolve: "resolve", Join: "join", Zone: "zone",
 	Push: "push", Fetch: "fetch", Claim: "claim", Burn: "burn",
-	Status: "status", Run: "run", Document: "document",
+	Status: "status", Run: "run", Document: "document", Recall: "recall",
 }
 
 // Encode returns the payload of a message.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -82,6 +82,9 @@
 	// Serving is set while the backend server takes requests.
 	Serving bool
 	Load    cicadaseam.MeshLoad
+	// Left are the instances beside the node that said that they leave. Other nodes
+	// remember them for the process that starts there next.
+	Left []string
 	// Marks are requests that crashed backend servers.
 	Marks []cicadaseam.Mark
 }
@@ -108,6 +111,7 @@
 	known   bool // a beat was heard
 	added   time.Time
 	skipped int
+	left    map[string]bool // told by any process at the address
 }
 
 // Fleet is the view of one node. It is safe for concurrent use.
@@ -374,7 +378,7 @@
 	}
 	b := e.peer.Beat
 	b.Sequence, b.Revision, b.Load = s.Sequence, s.Revision, s.Load
-	b.Marks = nil
+	b.Marks, b.Left = nil, nil
 	return b, true
 }
 
@@ -404,6 +408,7 @@
 	}
 	changed := met || shape(e.peer.Beat) != shape(b)
 	e.known = true
+	e.remember(b.Left)
 	e.peer.Beat = b
 	e.peer.Heard = now
 	f.publish(now)
@@ -418,6 +423,33 @@
 	f.onBeat(b)
 }
 
+// maxLeft bounds the instances that are remembered for an address.
+const maxLeft = 64
+
+func (e *entry) remember(left []string) {
+	for _, id := range left {
+		if e.left == nil || len(e.left) >= maxLeft {
+			e.left = map[string]bool{}
+		}
+		e.left[id] = true
+	}
+}
+
+// Recall returns the instances at an address that were heard to leave.
+func (f *Fleet) Recall(addr string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[addr]
+	if e == nil {
+		return nil
+	}
+	out := make([]string, 0, len(e.left))
+	for id := range e.left {
+		out = append(out, id)
+	}
+	return out
+}
+
 // shape is what matters of a beat beside its load.
 type shapeOf struct {
 	service, instance       string
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -200,3 +200,14 @@
 	f.Take(epoch, beat("a", 1, 1))
 	require.True(t, f.isWhole(allZones, b)) // a was met
 }
+
+// What left beside a node is remembered over the processes at its address.
+func TestLeavingIsRememberedForTheNextProcess(t *testing.T) {
+	f, _ := newFleet()
+	b := beat("a", 1, 1)
+	b.Left = []string{"i-1"}
+	f.Take(epoch, b)
+	f.Take(epoch.Add(time.Second), beat("a", 2, 1))
+	require.Equal(t, []string{"i-1"}, f.Recall("a"))
+	require.Empty(t, f.Recall("b"))
+}
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -68,6 +68,7 @@
 	changed func()
 	reader  func() bool
 	blind   atomic.Bool
+	applied atomic.Pointer[time.Time]
 
 	table atomic.Pointer[route.Table]
 
@@ -211,6 +212,8 @@
 	if old != nil && old.Number >= r.Number {
 		return false
 	}
+	now := time.Now()
+	k.applied.Store(&now)
 	k.table.Store(t)
 	k.current = r
 	if old == nil {
@@ -224,6 +227,14 @@
 	return true
 }
 
+// Age returns how long the table is in force.
+func (k *Keeper) Age(now time.Time) time.Duration {
+	if at := k.applied.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return 0
+}
+
 // Blind reports whether the source does not answer this node.
 func (k *Keeper) Blind() bool { return k.blind.Load() }
 
