A version counts as in force only where calls are taken with it; explain; tests of whole nodes

Cause of "6 of 6 nodes are at version 1" followed by 503 not-ready: a node told its version as soon as its table held it, and became ready at the next tick. TestVersionIsInForceOnlyWhereCallsAreTaken failed before and passes. The age of a member that was heard after the question began is no longer negative.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -32,6 +32,7 @@
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a deployment of the brief in one process and check its promises"`
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
 	Sidecar  *sidecarCommand  `arg:"subcommand:sidecar" help:"run a mesh proxy beside a backend server of the platform"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell what happened to one request from the logs of several nodes"`
 	Logd     *logdCommand     `arg:"subcommand:logd" help:"run the stand-in log"`
 	Backend  *backendCommand  `arg:"subcommand:backend" help:"run a stand-in backend server"`
 	Call     *callCommand     `arg:"subcommand:call" help:"make calls through a node"`
@@ -60,6 +61,8 @@
   cicadaseam config --zone atl-north --service status-portal --class passenger
   cicadaseam report --format html > burn.html
   cicadaseam settings > node.ini
+  cicadaseam sidecar --check node.ini
+  cicadaseam explain --id 9c41d07be2a35f68 node-1.log node-2.log
 
 exit codes: 0 done, 1 failed, 2 bad use`
 }
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -294,6 +294,9 @@
 	return out
 }
 
+// Member returns a member as this node sees it.
+func (n *Node) Member(id string) (cicadaseam.Member, bool) { return n.gossip.View().Member(id) }
+
 // Metrics returns the metrics of the node.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
--- a/internal/daemon/node/operator.go
+++ b/internal/daemon/node/operator.go
@@ -130,7 +130,7 @@
 	f.Self = api.Member{Member: v.Self, Version: version, Position: position, Answered: true}
 	statuses := n.gatherStatus(r.Context())
 	for _, s := range n.gossip.Fleet() {
-		m := api.Member{Member: s.Member, HeardSeconds: now.Sub(s.Heard).Seconds()}
+		m := api.Member{Member: s.Member, HeardSeconds: max(now.Sub(s.Heard), 0).Seconds()}
 		if st, ok := statuses[s.Member.ID]; ok {
 			m.Version, m.Position, m.Answered = st.Version, st.Position, true
 		}
@@ -147,7 +147,16 @@
 
 func (n *Node) serveStatus() ([]byte, error) {
 	position, _ := n.store.Position()
-	return method.Encode(&statusMessage{Position: position, Version: n.store.Table().Version})
+	return method.Encode(&statusMessage{Position: position, Version: n.inForce()})
+}
+
+// inForce returns the version with which this node takes calls, or 0 while it takes
+// none: a version is in force where calls are answered by it.
+func (n *Node) inForce() cicadaseam.Offset {
+	if !n.ready() {
+		return 0
+	}
+	return n.store.Table().Version
 }
 
 func (n *Node) gatherStatus(ctx context.Context) map[string]statusMessage {
--- a/internal/daemon/node/operator_test.go
+++ b/internal/daemon/node/operator_test.go
@@ -107,3 +107,30 @@
 		require.Equal(t, 200, f.call(f.hosts[0], "GET", "/status/claim", "passenger").status)
 	})
 }
+
+// A node counts as having a version once it takes calls with it, so that what an
+// operator waited for is in force.
+func TestVersionIsInForceOnlyWhereCallsAreTaken(t *testing.T) {
+	withFleet(t, 6, 64, func(f *fleet) {
+		d := f.publish(f.hosts[0], "4s")
+		require.True(t, f.eventually(30*time.Second, func() bool {
+			p := f.progress(d.Version)
+			return p.Have == p.All
+		}))
+		h := f.hosts[2]
+		f.kill(h)
+		f.start(h, 99)
+		id := h.node.ID()
+		met := false
+		for range 5000 {
+			_, known := f.hosts[0].node.Member(id)
+			if p := f.progress(d.Version); known && p.Have == p.All {
+				met = true
+				require.True(t, isReady(h.node))
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.True(t, met)
+	})
+}
--- a/internal/daemon/node/progress.go
+++ b/internal/daemon/node/progress.go
@@ -64,7 +64,7 @@
 // which it does not know that yet.
 func (n *Node) progressOf(ctx context.Context, version cicadaseam.Offset) api.Progress {
 	v := n.gossip.View()
-	n.progress.note(v.Self.ID, n.store.Table().Version)
+	n.progress.note(v.Self.ID, n.inForce())
 	var ask []cicadaseam.Member
 	for _, m := range v.Live("") {
 		if n.progress.at(m.ID) < version {
--- a/internal/daemon/sidecar/drain.go
+++ b/internal/daemon/sidecar/drain.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// noticeTime is how long callers may take to hear that this node leaves.
-	noticeTime = 2500 * time.Millisecond
 	// endMargin is kept of the grace time, so that the process ends by itself.
 	endMargin = 400 * time.Millisecond
 	// flushTime lets the last answers leave the links.
@@ -24,7 +22,7 @@
 	n.fleet.Tell()
 	n.front.Drain()
 	n.logger.Info("node leaves", zap.Int64("open", n.front.Open()), zap.Int("running", n.target.Load(began).Running))
-	time.Sleep(min(noticeTime, time.Until(end)))
+	time.Sleep(min(n.settings.Notice, time.Until(end)))
 	_ = n.listeners.calls.Close() // no new connection is taken
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -34,6 +34,7 @@
 
 	Beat     time.Duration
 	Grace    time.Duration
+	Notice   time.Duration
 	LogLevel string
 }
 
@@ -57,6 +58,7 @@
 		settings.Duration(&s.RetryWindow, "retry", "window", dispatch.DefaultAllowance.Window, time.Second, time.Hour, "window in which repeats are counted"),
 		settings.Duration(&s.Beat, "fleet", "beat", fleet.DefaultPeriod, 10*time.Millisecond, time.Minute, "time between two beats to the other nodes of a small fleet"),
 		settings.Duration(&s.Grace, "shutdown", "grace", 10*time.Second, time.Second, time.Hour, "time from SIGTERM to the end"),
+		settings.Duration(&s.Notice, "shutdown", "notice", 2500*time.Millisecond, 0, time.Hour, "time from SIGTERM in which callers hear that this node leaves; new connections are taken until then"),
 		settings.OneOf(&s.LogLevel, "logging", "level", "info", []string{"debug", "info", "warn", "error"}, "least level of log lines"),
 	}
 }
