Requests that crash backend servers are kept away from all of them

The marks of package quarantine travel on beats. A broken connection counts as a crash only when the server refuses a new one.

--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
 )
@@ -83,6 +84,7 @@
 	fleet    *fleet.Fleet
 	keeper   *revision.Keeper
 	target   *target.Target
+	guard    *guard.Guard
 	dispatch *dispatch.Dispatcher
 	front    *front.Server
 	meter    *Meter
@@ -136,11 +138,12 @@
 	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence), mux.WithDialTimeout(linkDial))
 	n.bulk = mux.NewPool(netio.New(), n.timers, mux.WithSilence(bulkSilence), mux.WithHeartbeat(bulkSilence/4))
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
-	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithChanged(n.instanceChanged))
+	n.guard = guard.New()
+	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithGuard(n.guard), target.WithChanged(n.instanceChanged))
 	n.keeper = revision.New(n.platform.Source, n.fetch, revision.WithLogger(n.logger), revision.WithChanged(n.revisionChanged), revision.WithReader(n.isReader))
 	n.fleet = fleet.New(s.Links, conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
 	n.dispatch = dispatch.New(s.Links, s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
-		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter),
+		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithBudget(dispatch.NewBudget(now, allowance(s))))
 	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithLogger(n.logger))
 }
@@ -183,11 +186,13 @@
 		Serving:  serving && n.isReady(),
 		Load:     n.target.Load(now),
 		Left:     n.target.Left(),
+		Marks:    n.guard.Marks(),
 	}
 }
 
 // heard takes a beat of another node.
 func (n *Node) heard(b fleet.Beat) {
+	n.guard.Take(time.Now(), b.Marks)
 	n.keeper.Heard(context.Background(), b.Addr, b.Revision, b.Zone == n.settings.Zone)
 }
 
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 	shares   *route.Shares
 	observer Observer
 	habits   *habits
+	guard    Guard
 }
 
 // Observer hears of each reply, for metrics.
@@ -128,6 +129,15 @@
 	Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration)
 }
 
+// Guard tells which requests crash backend servers.
+type Guard interface {
+	Refused(now time.Time, fingerprint uint64) (time.Duration, bool)
+}
+
+type noGuard struct{}
+
+func (noGuard) Refused(time.Time, uint64) (time.Duration, bool) { return 0, false }
+
 type noObserver struct{}
 
 func (noObserver) Replied(string, int, string, cicadaseam.Reason, time.Duration) {}
@@ -144,6 +154,9 @@
 // WithBudget sets the budget of repeats.
 func WithBudget(b *Budget) Option { return func(d *Dispatcher) { d.budget = b } }
 
+// WithGuard sets who tells which requests crash backend servers.
+func WithGuard(g Guard) Option { return func(d *Dispatcher) { d.guard = g } }
+
 // WithHeaders sets the names of headers.
 func WithHeaders(h cicadaseam.MeshHeaders) Option { return func(d *Dispatcher) { d.Headers = h } }
 
@@ -168,6 +181,7 @@
 		shares:   route.NewShares(),
 		observer: noObserver{},
 		habits:   newHabits(),
+		guard:    noGuard{},
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -216,6 +230,9 @@
 		return &Reply{Status: http.StatusNotFound}
 	}
 	x := d.prepare(r, rt, table.Number)
+	if wait, refused := d.guard.Refused(time.Now(), x.call.Fingerprint); refused {
+		return d.refuse(x, cicadaseam.ReasonQuarantine, wait)
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	reply, outcome, reason := d.perform(ctx, x)
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -281,7 +281,7 @@
 	}
 	f.sinceAll++
 	changed := shape(b) != f.told
-	if !changed && f.sinceAll < wholeEach && !f.met {
+	if !changed && f.sinceAll < wholeEach && !f.met && len(b.Marks) == 0 {
 		return false
 	}
 	f.told = shape(b)
--- /dev/null
+++ b/internal/mesh/guard/guard_test.go
@@ -0,0 +1,43 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// A request that crashed two backend servers is refused at every node that heard of
+// it; one that only ran beside it is served again once it ran well.
+func TestRequestThatCrashesIsRefusedEverywhere(t *testing.T) {
+	const culprit, bystander = 1, 2
+	a, b := New(), New()
+	a.Crashed(epoch, "i-1", []uint64{culprit, bystander})
+	b.Take(epoch, a.Marks())
+	_, refused := b.Refused(epoch, culprit)
+	require.False(t, refused)
+	b.Succeeded(epoch, bystander)
+	b.Crashed(epoch.Add(time.Second), "i-2", []uint64{culprit, bystander})
+	for _, g := range []*Guard{a, b} {
+		g.Take(epoch.Add(time.Second), b.Marks())
+		wait, refused := g.Refused(epoch.Add(time.Second), culprit)
+		require.True(t, refused)
+		require.Equal(t, period, wait)
+		_, refused = g.Refused(epoch.Add(time.Second), bystander)
+		require.False(t, refused)
+	}
+	_, refused = a.Refused(epoch.Add(time.Second+period), culprit)
+	require.False(t, refused) // a refusal ends by itself
+}
+
+func TestMarksAreToldAFewTimes(t *testing.T) {
+	g := New()
+	require.Empty(t, g.Marks())
+	g.Crashed(epoch, "i-1", []uint64{1})
+	for range transmits {
+		require.Len(t, g.Marks(), 1)
+	}
+	require.Empty(t, g.Marks())
+}
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -26,6 +26,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -57,6 +58,7 @@
 	mu      sync.Mutex
 	keeper  keeper
 	running map[string]int // ids of the requests that run
+	guard   Guard
 	server  *server
 	changed func()
 }
@@ -74,14 +76,32 @@
 	refusals  int
 	coldUntil time.Time
 	waker     bool
+	// work counts the running requests by fingerprint; crashes numbers the crashes.
+	work    map[uint64]int
+	crashes int
 }
 
+// Guard hears of requests that ran well and of those that ran at a crash.
+type Guard interface {
+	Crashed(now time.Time, crash string, fingerprints []uint64)
+	Succeeded(now time.Time, fingerprint uint64)
+}
+
+type noGuard struct{}
+
+func (noGuard) Crashed(time.Time, string, []uint64) {}
+
+func (noGuard) Succeeded(time.Time, uint64) {}
+
 // Option changes a new Target.
 type Option func(*Target)
 
 // WithLogger sets the logger of decisions.
 func WithLogger(l *zap.Logger) Option { return func(t *Target) { t.logger = l } }
 
+// WithGuard sets who hears of crashes.
+func WithGuard(g Guard) Option { return func(t *Target) { t.guard = g } }
+
 // WithLease sets how long an instance is used after its last announcement.
 func WithLease(d time.Duration) Option { return func(t *Target) { t.lease = d } }
 
@@ -94,7 +114,7 @@
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, changed: func() {}, running: map[string]int{}, keeper: newKeeper()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, changed: func() {}, running: map[string]int{}, guard: noGuard{}, keeper: newKeeper()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -196,6 +216,7 @@
 		heard:     now,
 		leaving:   x.State == cicadaseam.BackendDraining,
 		coldUntil: now.Add(x.Cold),
+		work:      map[uint64]int{},
 	}
 }
 
@@ -390,22 +411,61 @@
 }
 
 // mark counts a request as running or no longer so.
-func (t *Target) mark(id string, by int) {
+func (t *Target) mark(s *server, call *cicadaseam.MeshCall, by int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.running[id] += by
-	if t.running[id] <= 0 {
-		delete(t.running, id)
+	if t.running[call.ID] += by; t.running[call.ID] <= 0 {
+		delete(t.running, call.ID)
+	}
+	if s.work[call.Fingerprint] += by; s.work[call.Fingerprint] <= 0 {
+		delete(s.work, call.Fingerprint)
 	}
 }
 
+// crashTimeout bounds the question whether a backend server still listens.
+const crashTimeout = 300 * time.Millisecond
+
+// look finds out whether a backend server crashed under a request whose connection
+// broke. A server that only closed the connection still listens.
+func (t *Target) look(s *server, result *upstream.Result) {
+	if result.Err == nil || !result.Sent {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	if !s.client.Refuses(ctx) {
+		return
+	}
+	t.mu.Lock()
+	now := time.Now()
+	known := now.Before(s.downUntil)
+	s.downUntil = now.Add(downFirst)
+	s.queue.Clear()
+	s.crashes++
+	crash := fmt.Sprintf("%s/%d", s.instance.ID, s.crashes)
+	prints := make([]uint64, 0, len(s.work))
+	for f := range s.work {
+		prints = append(prints, f)
+	}
+	t.mu.Unlock()
+	if known {
+		return // another request has told of this crash
+	}
+	t.logger.Info("backend server crashed", zap.String("crash", crash), zap.Int("running", len(prints)))
+	t.guard.Crashed(now, crash, prints)
+	t.changed()
+}
+
 // send runs a request that has a slot.
 func (t *Target) send(ctx context.Context, s *server, call *cicadaseam.MeshCall, left time.Duration) *cicadaseam.MeshAnswer {
-	t.mark(call.ID, 1)
-	defer t.mark(call.ID, -1)
+	t.mark(s, call, 1)
+	defer t.mark(s, call, -1)
 	began := time.Now()
 	result := s.client.Do(ctx, call, s.instance.ID, left)
 	took := time.Since(began)
+	if ctx.Err() == nil {
+		t.look(s, &result)
+	}
 	answer := &cicadaseam.MeshAnswer{Ran: took, Offered: result.Sent}
 	t.judge(ctx, answer, &result)
 	t.mu.Lock()
@@ -452,6 +512,7 @@
 	s.queue.Done(now, took)
 	if ran {
 		s.stats.ran(now, took, call.Objective)
+		t.guard.Succeeded(now, call.Fingerprint)
 		s.refusals = 0
 		return
 	}
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -198,6 +198,50 @@
 	require.True(t, serving)
 }
 
+// crashLog keeps what ran at crashes.
+type crashLog struct{ prints [][]uint64 }
+
+func (c *crashLog) Crashed(_ time.Time, _ string, prints []uint64) {
+	c.prints = append(c.prints, prints)
+}
+
+func (c *crashLog) Succeeded(time.Time, uint64) {}
+
+// A connection that breaks while the server still listens is no crash; one that
+// breaks with its server marks what ran there.
+func TestCrashIsToldFromABrokenConnection(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = nc.Read(make([]byte, 1024))
+			if crash {
+				_ = l.Close()
+			}
+			_ = nc.Close()
+		}()
+		log := &crashLog{}
+		target := New(headers, WithGuard(log))
+		x := ready("a", 1, 0)
+		x.Addr = l.Addr().String()
+		target.Announce(time.Now(), x)
+		call := request("q")
+		call.Fingerprint = 7
+		answer := target.Run(context.Background(), call)
+		require.Equal(t, cicadaseam.OutcomeUnknown, answer.Outcome)
+		if crash {
+			require.Equal(t, [][]uint64{{7}}, log.prints)
+		} else {
+			require.Empty(t, log.prints)
+		}
+		_ = l.Close()
+	}
+}
+
 func TestTimeoutOfARunningRequestIsUnknown(t *testing.T) {
 	target := attach(serve(t))
 	x := request("q")
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -97,6 +97,17 @@
 // Dials returns how many connections were opened.
 func (c *Client) Dials() int64 { return c.dials.Load() }
 
+// Refuses reports whether the backend server refuses a new connection, which tells
+// a crashed process from a connection that was only closed.
+func (c *Client) Refuses(ctx context.Context) bool {
+	nc, err := c.dialer.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close() // it was opened only to see whether it opens
+	return false
+}
+
 // Close drops the idle connections and keeps none from now on.
 func (c *Client) Close() {
 	c.mu.Lock()
