--- a/internal/base/decision/decision.go
+++ b/internal/base/decision/decision.go
@@ -175,6 +175,10 @@
 	return zapcore.NewJSONEncoder(c)
 }
 
+// Error returns the field of an error: its text alone, since the stacks that errors
+// carry would fill the log.
+func Error(err error) zapcore.Field { return zap.String("error", err.Error()) }
+
 // Core returns the zap core that writes JSON lines of a level and above.
 func (w *Writer) Core(level zapcore.LevelEnabler) zapcore.Core {
 	return &core{LevelEnabler: level, writer: w, enc: newEncoder()}
--- a/internal/command/cli/sidecar.go
+++ b/internal/command/cli/sidecar.go
@@ -76,7 +76,7 @@
 			err = level.UnmarshalText([]byte(settings.LogLevel))
 		}
 		if err != nil {
-			logger.Error("settings not reloaded, the old ones hold", zap.Error(err))
+			logger.Error("settings not reloaded, the old ones hold", decision.Error(err))
 			continue
 		}
 		n.Reload(*settings)
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
@@ -53,7 +54,7 @@
 			n.fleet.Tell()
 			return
 		}
-		n.logger.Warn("directory not reached", zap.Int("attempt", attempt), zap.Error(err))
+		n.logger.Warn("directory not reached", zap.Int("attempt", attempt), decision.Error(err))
 		wait.Sleep(ctx, joinFirst/2+wait.Backoff(rand.Int64N, attempt, joinFirst, joinCap))
 	}
 }
@@ -90,7 +91,7 @@
 		err = method.Decode(data, &left)
 	}
 	if err != nil {
-		n.logger.Info("node did not say what left here", zap.String("peer", addr), zap.Error(err))
+		n.logger.Info("node did not say what left here", zap.String("peer", addr), decision.Error(err))
 		return false
 	}
 	n.target.Bind(time.Now(), left)
@@ -128,7 +129,7 @@
 		}
 		var r nodeRecord
 		if err := pack.Unmarshal(x.Value, &r); err != nil {
-			n.logger.Warn("directory record dropped", zap.String("key", x.Key), zap.Error(err))
+			n.logger.Warn("directory record dropped", zap.String("key", x.Key), decision.Error(err))
 			continue
 		}
 		addrs = append(addrs, r.Addr)
@@ -172,7 +173,7 @@
 	defer cancel()
 	if err := n.platform.Directory.Put(ctx, leftPrefix+id, []byte{1}); err != nil {
 		n.left.Delete(id) // the next announcement tries again
-		n.logger.Warn("leaving not written down", zap.String("instance", id), zap.Error(err))
+		n.logger.Warn("leaving not written down", zap.String("instance", id), decision.Error(err))
 	}
 }
 
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 )
@@ -22,7 +23,7 @@
 func (c linkCaller) Run(ctx context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
 	payload, err := method.Encode(call)
 	if err != nil {
-		c.node.logger.Error("call not encoded", zap.String("request", call.ID), zap.Error(err))
+		c.node.logger.Error("call not encoded", zap.String("request", call.ID), decision.Error(err))
 		return &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonLink}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Budget+answerMargin)
@@ -33,7 +34,7 @@
 	}
 	answer := &cicadaseam.MeshAnswer{}
 	if err := method.Decode(data, answer); err != nil {
-		c.node.logger.Error("answer not decoded", zap.String("request", call.ID), zap.String("peer", addr), zap.Error(err))
+		c.node.logger.Error("answer not decoded", zap.String("request", call.ID), zap.String("peer", addr), decision.Error(err))
 		return &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink, Offered: true}
 	}
 	return answer
@@ -53,7 +54,7 @@
 	case ctx.Err() != nil:
 		a.Reason = cicadaseam.ReasonCanceled
 	default:
-		c.node.logger.Info("link failed", zap.String("request", call.ID), zap.String("peer", addr), zap.Error(err))
+		c.node.logger.Info("link failed", zap.String("request", call.ID), zap.String("peer", addr), decision.Error(err))
 	}
 	return a
 }
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -339,11 +339,14 @@
 func (d *Dispatcher) candidates(now time.Time, service string) []Candidate {
 	var self *Candidate
 	if instance, ok := d.local.Instance(now); ok && instance.Service == service {
-		self = &Candidate{Addr: d.Addr, Zone: d.Zone, Instance: instance.ID, Local: true, Load: d.local.Load(now), Heard: now}
+		self = &Candidate{Addr: d.Addr, Node: localNode, Zone: d.Zone, Instance: instance.ID, Local: true, Load: d.local.Load(now), Heard: now}
 	}
 	return candidates(service, self, d.Service, d.fleet.Peers())
 }
 
+// localNode stands in the log for the node itself.
+const localNode = "local"
+
 // send offers a request to one target.
 func (d *Dispatcher) send(ctx context.Context, x *exchange, choice *Choice) *cicadaseam.MeshAnswer {
 	now := time.Now()
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -33,6 +33,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 )
@@ -265,7 +266,7 @@
 	f.mu.Unlock()
 	data, err := encode(beat, whole)
 	if err != nil {
-		f.logger.Error("beat not encoded", zap.Error(err))
+		f.logger.Error("beat not encoded", decision.Error(err))
 		return
 	}
 	for _, a := range addrs {
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -33,6 +33,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/route"
 )
@@ -144,7 +145,7 @@
 func (k *Keeper) Take(data []byte) error {
 	r, err := k.source.Decode(data)
 	if err != nil {
-		k.logger.Warn("configuration rejected", zap.String("from", fromSource), zap.Error(err))
+		k.logger.Warn("configuration rejected", zap.String("from", fromSource), decision.Error(err))
 		return err
 	}
 	return k.takeRevision(r, fromSource)
@@ -193,7 +194,7 @@
 	}
 	t, err := route.New(r)
 	if err != nil {
-		k.logger.Warn("configuration rejected", zap.String("from", from), zap.Uint64("revision", r.Number), zap.Error(err))
+		k.logger.Warn("configuration rejected", zap.String("from", from), zap.Uint64("revision", r.Number), decision.Error(err))
 		return err
 	}
 	if !k.swap(t, r) {
@@ -280,7 +281,7 @@
 
 func (k *Keeper) lost(failures int, err error) {
 	if failures == 0 {
-		k.logger.Warn("configuration source lost", zap.Uint64("revision", k.Number()), zap.Error(err))
+		k.logger.Warn("configuration source lost", zap.Uint64("revision", k.Number()), decision.Error(err))
 	}
 }
 
@@ -402,6 +403,6 @@
 		err = k.takeUpdate(data, w.addr)
 	}
 	if err != nil {
-		k.logger.Info("configuration not fetched", zap.String("peer", w.addr), zap.Uint64("revision", w.number), zap.Error(err))
+		k.logger.Info("configuration not fetched", zap.String("peer", w.addr), zap.Uint64("revision", w.number), decision.Error(err))
 	}
 }
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -34,6 +34,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/slot"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
 )
@@ -306,7 +307,7 @@
 	if call.Budget < s.least(call) {
 		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonDeadline, 0)
 	}
-	item := &slot.Item{Rank: rankOf(call), Due: now.Add(call.Due), Wait: call.Wait, Ready: make(chan bool, 1)}
+	item := &slot.Item{Rank: rankOf(call), Due: now.Add(call.Due), Wait: call.Wait, Work: s.expected(call), Ready: make(chan bool, 1)}
 	verdict, wait := s.queue.Offer(now, item)
 	switch verdict {
 	case slot.Started:
@@ -324,10 +325,16 @@
 
 // least returns the least time that a request must have left to be worth a slot.
 func (s *server) least(call *cicadaseam.MeshCall) time.Duration {
+	return time.Duration(hopelessShare * float64(s.expected(call)))
+}
+
+// expected returns how long a request is expected to run, or 0 when too little is
+// known.
+func (s *server) expected(call *cicadaseam.MeshCall) time.Duration {
 	if s.stats.samples < fewSamples {
 		return 0
 	}
-	return time.Duration(hopelessShare * s.stats.pace * float64(call.Objective))
+	return time.Duration(s.stats.pace * float64(call.Objective))
 }
 
 // rankOf returns the rank in which a request waits.
@@ -380,7 +387,7 @@
 		if start {
 			return nil
 		}
-		return t.refusal(s, cicadaseam.ReasonQueueTimeout, 0)
+		return t.refusal(s, cicadaseam.ReasonQueueTimeout, t.room(s, item.Rank))
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
@@ -396,6 +403,13 @@
 	return t.refusal(s, reason, 0)
 }
 
+// room returns how long a request of a rank would wait now.
+func (t *Target) room(s *server, rank int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.queue.Estimate(rank)
+}
+
 // release gives a slot back.
 func (t *Target) release(s *server, took time.Duration) {
 	t.mu.Lock()
@@ -475,7 +489,7 @@
 	answer.Load = s.load(now)
 	if result.Err != nil && ctx.Err() == nil {
 		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.instance.ID),
-			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), zap.Error(result.Err))
+			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), decision.Error(result.Err))
 	}
 	return answer
 }
