--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -27,8 +27,8 @@
 	// noise keeps nodes with the same news from choosing the same target.
 	noise = 0.01
 	// tryGain draws one request of each node of a zone to a backend server there that
-	// it has not used, tryAfter after it was first seen.
-	tryGain  = 0.15
+	// it has not used for tryAfter, so that a new or recovered one is noticed.
+	tryGain  = 0.5
 	tryAfter = 3 * time.Second
 	// unprovenCost is the cost of a target to which requests are under way while none
 	// has been answered since a link to it failed or it was first seen.
@@ -72,10 +72,10 @@
 	failures int
 	avoid    time.Time
 	instance string
-	seen     time.Time
-	used     bool
-	proven   bool
-	triedAt  time.Time // when the first request went to a target that is not proven
+	// used is when a request was last sent there, or when it was first seen.
+	used    time.Time
+	proven  bool
+	triedAt time.Time // when the first request went to a target that is not proven
 }
 
 // Placer chooses the target of a request. It is a plain state machine behind a
@@ -143,7 +143,7 @@
 	}
 	t.inFlight++
 	t.sent++
-	t.used = true
+	t.used = now
 	return choice, true
 }
 
@@ -155,7 +155,7 @@
 		if t != nil {
 			in = t.inFlight
 		}
-		t = &track{instance: c.Instance, inFlight: in, seen: now}
+		t = &track{instance: c.Instance, inFlight: in, used: now}
 		p.tracks[c.Addr] = t
 	}
 	if c.Heard.After(t.loadAt) {
@@ -186,8 +186,8 @@
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
-	if need.Idempotent && !t.used && c.Zone == p.zone && now.Sub(t.seen) > tryAfter {
-		cost -= tryGain
+	if need.Idempotent && c.Zone == p.zone && occupied < slots && now.Sub(t.used) > tryAfter {
+		cost = failCost*float64(t.load.Failing)/thousand - tryGain // its pace may be that of a cold start
 	}
 	if !t.proven && t.inFlight > 0 && !c.Local && now.Sub(t.triedAt) < provenAfter {
 		cost += unprovenCost
