--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -391,7 +391,7 @@
 		x.failure = a
 	case cicadaseam.OutcomeNotRun:
 		x.refusals++
-		if a.Wait > 0 && (x.room == 0 || a.Wait < x.room) {
+		if a.Wait > x.room {
 			x.room = a.Wait
 		}
 	default:
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -313,7 +313,7 @@
 	case slot.Started:
 		return s, nil, nil
 	case slot.Refused:
-		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonQueueFull, wait-call.Wait)
+		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonQueueFull, wait)
 	}
 	t.wake(s)
 	return s, item, nil
