--- a/internal/daemon/sidecar/drain.go
+++ b/internal/daemon/sidecar/drain.go
@@ -23,6 +23,8 @@
 	n.front.Drain()
 	n.logger.Info("node leaves", zap.Int64("open", n.front.Open()), zap.Int("running", n.target.Load(began).Running))
 	time.Sleep(min(n.settings.Notice, time.Until(end)))
+	n.closing.Store(true)
+	n.fleet.Tell()
 	_ = n.listeners.calls.Close() // no new connection is taken
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -67,6 +67,9 @@
 		if err := method.Decode(payload, &call); err != nil {
 			return nil, err
 		}
+		if n.closing.Load() {
+			return method.Encode(&cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonDraining})
+		}
 		return method.Encode(n.target.Run(ctx, &call))
 	case method.Document:
 		var have uint64
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -13,8 +13,8 @@
 //
 // At SIGTERM the node says at once that it is not ready and tells the others that
 // it leaves. It goes on serving what still comes until its callers had time to
-// hear of it, closing connections with their next answers, and ends when nothing
-// is open or the grace time is over.
+// hear of it, closing connections with their next answers; its backend server works
+// for other nodes until then. It ends when nothing is open or the grace time is over.
 //
 // # Usage
 //
@@ -93,7 +93,9 @@
 	listeners struct{ calls, ready, backend, links, metrics net.Listener }
 	servers   []*http.Server
 
+	// leaving is set at SIGTERM; closing once no new call is run for other nodes.
 	leaving atomic.Bool
+	closing atomic.Bool
 	joined  atomic.Bool
 	left    sync.Map // instances whose leaving lies in the directory
 	wg      sync.WaitGroup
@@ -183,7 +185,7 @@
 		Blind:    n.keeper.Blind(),
 		Service:  instance.Service,
 		Instance: instance.ID,
-		Serving:  serving && n.isReady(),
+		Serving:  serving && n.isReady() && !n.closing.Load(),
 		Load:     n.target.Load(now),
 		Left:     n.target.Left(),
 		Marks:    n.guard.Marks(),
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -24,6 +24,8 @@
 	failCost = 1.5
 	// busyCost spreads requests over targets that have room.
 	busyCost = 0.02
+	// leavingCost keeps what it can from a node that is about to end.
+	leavingCost = 0.2
 	// noise keeps nodes with the same news from choosing the same target.
 	noise = 0.01
 	// tryGain draws one request of each node of a zone to a backend server there that
@@ -57,7 +59,9 @@
 	Zone     string
 	Instance string
 	Local    bool
-	Load     cicadaseam.MeshLoad
+	// Leaving is set while the node is about to end.
+	Leaving bool
+	Load    cicadaseam.MeshLoad
 	// Heard is when the load was told.
 	Heard time.Time
 }
@@ -186,7 +190,10 @@
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
-	if need.Idempotent && c.Zone == p.zone && occupied < slots && now.Sub(t.used) > tryAfter {
+	if c.Leaving {
+		cost += leavingCost
+	}
+	if need.Idempotent && !c.Leaving && c.Zone == p.zone && occupied < slots && now.Sub(t.used) > tryAfter {
 		cost = failCost*float64(t.load.Failing)/thousand - tryGain // its pace may be that of a cold start
 	}
 	if !t.proven && t.inFlight > 0 && !c.Local && now.Sub(t.triedAt) < provenAfter {
@@ -259,10 +266,10 @@
 	}
 	for i := range peers {
 		b := &peers[i].Beat
-		if !b.Serving || b.Leaving || b.Service != service {
+		if !b.Serving || b.Service != service {
 			continue
 		}
-		out = append(out, Candidate{Addr: b.Addr, Node: b.Node, Zone: b.Zone, Instance: b.Instance, Load: b.Load, Heard: peers[i].Heard})
+		out = append(out, Candidate{Addr: b.Addr, Node: b.Node, Zone: b.Zone, Instance: b.Instance, Leaving: b.Leaving, Load: b.Load, Heard: peers[i].Heard})
 	}
 	return out
 }
--- a/internal/mesh/dispatch/place_test.go
+++ b/internal/mesh/dispatch/place_test.go
@@ -184,3 +184,12 @@
 	require.Equal(t, "near", pick(t, p, near, far))
 	require.Equal(t, "near", pick(t, p, near, far))
 }
+
+// A node that is about to end still helps when the others are full.
+func TestLeavingNodeIsTheLastChoice(t *testing.T) {
+	p := newPlacer()
+	leaving := candidate("leaving", "north", cicadaseam.MeshLoad{Pace: 330})
+	leaving.Leaving = true
+	require.Equal(t, "other", pick(t, p, leaving, candidate("other", "south", cicadaseam.MeshLoad{Pace: 330})))
+	require.Equal(t, "leaving", pick(t, newPlacer(), leaving, candidate("other", "south", cicadaseam.MeshLoad{Pace: 330, Running: 10, Queued: 20})))
+}
