--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -40,7 +40,7 @@
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the fleet as one node sees it"`
 	Config   *configCommand   `arg:"subcommand:config" help:"show the effective settings of a scope and where each comes from"`
 	Report   *reportCommand   `arg:"subcommand:report" help:"report service-level burn"`
-	Settings *settingsCommand `arg:"subcommand:settings" help:"print a commented example of a node's settings"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"print a commented example of the settings, or check a file"`
 }
 
 // Description implements arg.Described.
@@ -61,7 +61,8 @@
   cicadaseam config --zone atl-north --service status-portal --class passenger
   cicadaseam report --format html > burn.html
   cicadaseam settings > node.ini
-  cicadaseam sidecar --check node.ini
+  cicadaseam settings --sidecar --check node.ini
+  cicadaseam sidecar node.ini
   cicadaseam explain --id 9c41d07be2a35f68 node-1.log node-2.log
 
 exit codes: 0 done, 1 failed, 2 bad use`
--- a/internal/command/cli/operate.go
+++ b/internal/command/cli/operate.go
@@ -21,6 +21,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/api"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/node"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/sidecar"
 )
 
 // operator is how to reach a node's operator address.
@@ -210,12 +211,37 @@
 	return r.WriteTable(s.out)
 }
 
-type settingsCommand struct{}
+type settingsCommand struct {
+	Sidecar bool   `arg:"--sidecar" help:"settings of a sidecar in place of a node"`
+	Check   string `arg:"--check" help:"check a file and print all its faults"`
+}
 
 func (c *settingsCommand) run(_ context.Context, s streams) error {
+	if c.Check != "" {
+		return c.check(s)
+	}
 	var n node.Settings
-	fmt.Fprintln(s.out, "# Settings of a cicadaseam node.")
-	return settings.Example(s.out, n.Fields())
+	fields, title := n.Fields(), "# Settings of a cicadaseam node."
+	if c.Sidecar {
+		var x sidecar.Settings
+		fields, title = x.Fields(), "# Settings of a cicadaseam sidecar."
+	}
+	fmt.Fprintln(s.out, title)
+	return settings.Example(s.out, fields)
+}
+
+func (c *settingsCommand) check(s streams) error {
+	var err error
+	if c.Sidecar {
+		_, err = sidecar.Load(c.Check)
+	} else {
+		_, err = node.Load(c.Check)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "%s: the settings are good\n", c.Check)
+	return nil
 }
 
 func writeJSON(w io.Writer, body any) error {
--- a/internal/command/cli/sidecar.go
+++ b/internal/command/cli/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,7 +17,6 @@
 
 type sidecarCommand struct {
 	Settings string `arg:"positional" help:"INI file with the settings; the platform names it when left out"`
-	Check    bool   `arg:"--check" help:"check the settings and end"`
 }
 
 // sidecarCollect is the headroom of the garbage collector, in percent.
@@ -34,10 +32,6 @@
 	if err != nil {
 		return err
 	}
-	if c.Check {
-		fmt.Fprintf(s.out, "%s: the settings are good\n", file)
-		return nil
-	}
 	lines := decision.New(s.out)
 	defer lines.Close()
 	level := zap.NewAtomicLevel()
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -81,7 +81,8 @@
 func (n *Node) recall(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	payload, err := method.Encode(&n.settings.Links)
+	self := n.settings.peerAddr()
+	payload, err := method.Encode(&self)
 	if err != nil {
 		return false
 	}
@@ -102,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	if !*written {
-		value, err := pack.Marshal(&nodeRecord{Addr: n.settings.Links, Zone: n.settings.Zone})
+		value, err := pack.Marshal(&nodeRecord{Addr: n.settings.peerAddr(), Zone: n.settings.Zone})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/daemon/sidecar/page_test.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/base/settings"
+)
+
+func page(t *testing.T) string {
+	data, err := os.ReadFile("../../../docs/operators/sidecar.md")
+	require.NoError(t, err)
+	return string(data)
+}
+
+// newTestNode returns a node that listens on loopback and does not run.
+func newTestNode(t *testing.T) *Node {
+	s := Settings{Name: "n", Zone: "z", Service: "s"}
+	for _, to := range []*string{&s.Calls, &s.Ready, &s.Backend, &s.Links} {
+		*to = "127.0.0.1:0"
+	}
+	n, err := New(s, Platform{})
+	require.NoError(t, err)
+	t.Cleanup(n.closeListeners)
+	return n
+}
+
+// The page names each metric, and each metric that it names is there.
+func TestPageAndMetricsAgree(t *testing.T) {
+	n := newTestNode(t)
+	n.meter.Replied("desk", 1, "ran", "", time.Millisecond)
+	n.meter.StoreCall("read", "ok")
+	w := httptest.NewRecorder()
+	n.meter.handler(n).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	generic := map[string]string{
+		"requests.desk.1.ran.none": "requests.SERVICE.PRIORITY.OUTCOME.REASON", "latency-us.desk": "latency-us.SERVICE", "store.read.ok": "store.OPERATION.RESULT",
+	}
+	_, table, found := strings.Cut(page(t), "| name | meaning |")
+	require.True(t, found)
+	named := map[string]bool{}
+	for _, row := range regexp.MustCompile(`(?m)^\| ([a-zA-Z][a-zA-Z., -]*) \|`).FindAllStringSubmatch(table, -1) {
+		for _, name := range strings.Split(row[1], ", ") {
+			named[name] = true
+		}
+	}
+	for _, line := range strings.Split(strings.TrimSpace(w.Body.String()), "\n") {
+		name, _, _ := strings.Cut(line, " ")
+		if g := generic[name]; g != "" {
+			name = g
+		}
+		require.True(t, named[name], "the page does not name %q", name)
+		delete(named, name)
+	}
+	require.Empty(t, named, "the page names what is not there")
+}
+
+func TestPageNamesEachSetting(t *testing.T) {
+	text := page(t)
+	var s Settings
+	for _, f := range s.Fields() {
+		require.Regexp(t, `(?m)^\| \[`+f.Section+`\][^|]*\b`+f.Key+`\b`, text)
+	}
+}
+
+func TestSettingsErrorsAreToldAllAtOnce(t *testing.T) {
+	file := t.TempDir() + "/node.ini"
+	require.NoError(t, os.WriteFile(file, []byte("[node]\nname = n\nzone = z\n[listen]\ncalls = a:1\nready = a:2\nbackend = a:3\nlinks = a:4\n"+
+		"[store]\naddress = a:5\n[retry]\nratio = much\nslack = -1\n[shutdown]\ngrace = soon\n[other]\nkey = 1\n"), 0o600))
+	_, err := Load(file)
+	var faults *settings.Error
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults.Problems, 5)
+	for _, want := range []string{"[node] service", "[retry] ratio", "[retry] slack", "[shutdown] grace", "[other] key"} {
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func TestAddressesAreChecked(t *testing.T) {
+	file := t.TempDir() + "/node.ini"
+	require.NoError(t, os.WriteFile(file, []byte("[node]\nname = n\nzone = z\nservice = s\n[listen]\ncalls = nowhere\nready = a:2\nbackend = a:3\nlinks = a:4\n[store]\naddress = a:5\n"), 0o600))
+	_, err := Load(file)
+	require.ErrorContains(t, err, "[listen] calls")
+}
--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -48,6 +48,7 @@
 		settings.Must(settings.String(&s.Ready, "listen", "ready", "", "address for the question whether this node is ready, HTTP")),
 		settings.Must(settings.String(&s.Backend, "listen", "backend", "", "address for the announcements of the backend server, HTTP")),
 		settings.Must(settings.String(&s.Links, "listen", "links", "", "address for other nodes, TCP and UDP")),
+		settings.String(&s.Advertise, "listen", "advertise", "", "address that other nodes use for links, if it differs"),
 		settings.String(&s.Metrics, "listen", "metrics", "", "address for metrics, HTTP; none when empty"),
 		settings.Must(settings.String(&s.Store, "store", "address", "", "address of the platform's store")),
 		settings.String(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are dropped"),
@@ -72,12 +73,20 @@
 	return s, s.check(file)
 }
 
+// peerAddr returns the address at which other nodes reach this one.
+func (s *Settings) peerAddr() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Links
+}
+
 // check finds faults that one field alone does not show.
 func (s *Settings) check(file string) error {
 	var problems []settings.Problem
 	addrs := []struct{ section, key, addr string }{
 		{"listen", "calls", s.Calls}, {"listen", "ready", s.Ready}, {"listen", "backend", s.Backend},
-		{"listen", "links", s.Links}, {"listen", "metrics", s.Metrics}, {"store", "address", s.Store}, {"backend", "address", s.BackendAddr},
+		{"listen", "links", s.Links}, {"listen", "advertise", s.Advertise}, {"listen", "metrics", s.Metrics}, {"store", "address", s.Store}, {"backend", "address", s.BackendAddr},
 	}
 	for _, a := range addrs {
 		if a.addr == "" {
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -143,8 +143,8 @@
 	n.guard = guard.New()
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithGuard(n.guard), target.WithChanged(n.instanceChanged))
 	n.keeper = revision.New(n.platform.Source, n.fetch, revision.WithLogger(n.logger), revision.WithChanged(n.revisionChanged), revision.WithReader(n.isReader))
-	n.fleet = fleet.New(s.Links, conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
-	n.dispatch = dispatch.New(s.Links, s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
+	n.fleet = fleet.New(s.peerAddr(), conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
+	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithBudget(dispatch.NewBudget(now, allowance(s))))
 	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithLogger(n.logger))
@@ -177,7 +177,7 @@
 	instance, serving := n.target.Instance(now)
 	return fleet.Beat{
 		Node:     n.settings.Name,
-		Addr:     n.settings.Links,
+		Addr:     n.settings.peerAddr(),
 		Zone:     n.settings.Zone,
 		Epoch:    n.epoch,
 		Revision: n.keeper.Number(),
--- /dev/null
+++ b/internal/report/story/story_test.go
@@ -0,0 +1,66 @@
+package story
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// tell reads all sample logs and tells one request.
+func tell(t *testing.T, id string) []string {
+	t.Helper()
+	s := New(id)
+	files, err := filepath.Glob("testdata/*.log")
+	require.NoError(t, err)
+	for _, name := range files {
+		f, err := os.Open(name)
+		require.NoError(t, err)
+		require.NoError(t, s.Read(f))
+		require.NoError(t, f.Close())
+	}
+	var out bytes.Buffer
+	require.NoError(t, s.Tell(&out))
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+func TestStoriesOfFailedRequests(t *testing.T) {
+	tests := []struct {
+		name, id string
+		// want stands in the lines after the first, in order.
+		want []string
+	}{
+		{"refused", "a333767411a2a0a4", []string{"target=sidecar-atl-south-3", "target=local", "target=sidecar-atl-north-5", "request refused"}},
+		{"timed out", "48fba5bb7d6354bd", []string{"reason=deadline", "status=504"}},
+		{"unknown", "486739778508f567", []string{"sidecar-atl-west-3  backend server failed", "again=true", "sidecar-atl-north-3  backend server failed", "again=false", "status=502"}},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			lines := tell(t, x.id)
+			require.Contains(t, lines[0], x.id)
+			require.Len(t, lines, len(x.want)+1)
+			for i, want := range x.want {
+				require.Contains(t, lines[i+1], want)
+			}
+		})
+	}
+}
+
+func TestCallsOfABackendServerBelongToTheStory(t *testing.T) {
+	s := New("q1")
+	require.NoError(t, s.Read(strings.NewReader(strings.Join([]string{
+		`no line`,
+		`{"ts":"2026-07-21T00:00:02Z","node":"b","msg":"attempt failed","request":"q1.x"}`,
+		`  12.5 b {"ts":"2026-07-21T00:00:01Z","node":"a","msg":"attempt failed","request":"q1"}`,
+		`{"ts":"2026-07-21T00:00:03Z","node":"c","msg":"attempt failed","request":"q12"}`,
+		`{"ts":"broken","node":"c","msg":"attempt failed","request":"q1"}`,
+		`{"ts":"2026-07-21T00:00:03Z","node":"c","msg":"attempt`,
+	}, "\n"))))
+	require.Equal(t, 2, s.Len())
+	var out bytes.Buffer
+	require.NoError(t, s.Tell(&out))
+	require.Contains(t, out.String(), "1000.000 ms  b  attempt failed")
+}
