--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -20,8 +20,10 @@
 	Ready   string
 	Backend string
 	Links   string
-	Metrics string
-	Store   string
+	// Advertise is the address of Links that other nodes use.
+	Advertise string
+	Metrics   string
+	Store     string
 
 	// BackendAddr is where the backend server of this node listens.
 	BackendAddr string
