--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 const (
 	// maxAsked bounds the targets that one request is offered to.
 	maxAsked = 5
+	// maxFar bounds those of them in other zones: a request that is refused there has
+	// cost its bytes.
+	maxFar = 2
 	// answerMargin is how much earlier than the caller's time a target must end.
 	answerMargin = 15 * time.Millisecond
 	// leastLeft is the least time for which a request is sent.
@@ -209,6 +212,7 @@
 	nested bool
 
 	asked   map[string]bool
+	far     int // targets in other zones that were asked
 	offered int // backend servers that it reached
 	unknown bool
 	// failure is the answer of the last attempt that ran and failed.
@@ -311,11 +315,14 @@
 			x.lastCause = cicadaseam.ReasonDeadline
 			break
 		}
-		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now), Idempotent: x.route.Idempotent}, d.candidates(now, x.call.Service), x.asked)
+		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now), Idempotent: x.route.Idempotent, NearOnly: x.far >= maxFar}, d.candidates(now, x.call.Service), x.asked)
 		if !ok {
 			break
 		}
 		x.asked[choice.Candidate.Addr] = true
+		if choice.Candidate.Zone != d.Zone {
+			x.far++
+		}
 		repeat := x.offered > 0
 		if repeat && !d.budget.Take(now, x.call.Service, len(d.fleet.Peers())+1) {
 			x.lastCause = cicadaseam.ReasonBudget
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -99,6 +99,8 @@
 	// Left is the time until its answer is late.
 	Left       time.Duration
 	Idempotent bool
+	// NearOnly leaves out the targets of other zones.
+	NearOnly bool
 }
 
 // NewPlacer returns a placer for a node in a zone.
@@ -125,7 +127,7 @@
 	lowest := 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if tried[c.Addr] {
+		if tried[c.Addr] || need.NearOnly && c.Zone != p.zone {
 			continue
 		}
 		t := p.track(now, c)
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -352,7 +352,7 @@
 // step fetches once. It returns false, and ends the fetching, when there is no more
 // to do.
 func (k *Keeper) step(ctx context.Context) bool {
-	if !k.near() && k.Number() > 0 {
+	if !k.near() && (k.Number() > 0 || !k.Blind()) {
 		k.awaitNear(ctx)
 	}
 	before := k.Number()
@@ -389,7 +389,7 @@
 		k.mu.Lock()
 		done := k.table.Load() != nil && k.Number() >= k.wanted.number
 		k.mu.Unlock()
-		if done || !wait.Sleep(ctx, look) {
+		if done || k.Number() == 0 && k.Blind() || !wait.Sleep(ctx, look) {
 			return
 		}
 	}
