--- a/internal/daemon/sidecar/drain.go
+++ b/internal/daemon/sidecar/drain.go
@@ -9,7 +9,7 @@
 
 const (
 	// endMargin is kept of the grace time, so that the process ends by itself.
-	endMargin = 400 * time.Millisecond
+	endMargin = 700 * time.Millisecond
 	// flushTime lets the last answers leave the links.
 	flushTime = 50 * time.Millisecond
 )
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -234,12 +234,28 @@
 	done := n.drain()
 	stop()
 	n.closeListeners()
-	n.links.Close()
-	n.wg.Wait()
+	n.finish()
 	n.logger.Info("node stopped", zap.Bool("all-answered", done))
 	return nil
 }
 
+// finishTime bounds how long the duties may take to end; the process ends then.
+const finishTime = 100 * time.Millisecond
+
+// finish waits for the duties, which have been told to end.
+func (n *Node) finish() {
+	ended := make(chan struct{})
+	go func() {
+		n.links.Close()
+		n.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(finishTime):
+	}
+}
+
 func (n *Node) start(ctx context.Context) {
 	n.duty(func() { n.timers.Run(ctx) })
 	n.duty(func() { n.pool.Run(ctx) })
