--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -31,17 +31,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
-	"github.com/cicadaseam/cicadaseam/internal/call/quarantine"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/route"
-	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
 )
 
 const (
@@ -72,7 +68,7 @@
 	Target string
 	Header http.Header
 	Body   []byte
-	// Arrived is when its first byte was read.
+	// Arrived is when it was read.
 	Arrived time.Time
 }
 
@@ -195,33 +191,6 @@
 // SetAllowance changes what the fleet may repeat.
 func (d *Dispatcher) SetAllowance(a Allowance) { d.budget.SetAllowance(a) }
 
-// exchange is one request on its way.
-type exchange struct {
-	route *cicadaseam.MeshRoute
-	call  cicadaseam.MeshCall
-	// revision is the number of the table in use.
-	revision uint64
-	arrived  time.Time
-	deadline time.Time // when the caller has its answer
-	left     time.Duration
-	// onTime is when the objective ends, counted from the caller's first request.
-	onTime time.Time
-	// returning is set for a request that was refused before.
-	returning bool
-	// nested is set for a call that a backend server makes for a request it runs.
-	nested bool
-
-	asked   map[string]bool
-	far     int // targets in other zones that were asked
-	offered int // backend servers that it reached
-	unknown bool
-	// failure is the answer of the last attempt that ran and failed.
-	failure   *cicadaseam.MeshAnswer
-	refusals  int
-	room      time.Duration // until some target expects to have room
-	lastCause cicadaseam.Reason
-}
-
 // Serve answers a request.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request) *Reply {
 	table := d.config.Table()
@@ -244,69 +213,6 @@
 	return reply
 }
 
-// prepare finds all that a request needs.
-func (d *Dispatcher) prepare(r *Request, rt *cicadaseam.MeshRoute, revision uint64) *exchange {
-	now := time.Now()
-	left := callerTime(r.Header.Get(d.Headers.Deadline), rt.Timeout)
-	spent := d.habits.spent(rt.Name, left)
-	x := &exchange{
-		route:     rt,
-		revision:  revision,
-		arrived:   r.Arrived,
-		left:      left,
-		deadline:  r.Arrived.Add(min(left, rt.Timeout)),
-		onTime:    r.Arrived.Add(rt.Objective - spent),
-		returning: spent > returningAfter,
-		nested:    d.isNested(r.Header.Get(d.Headers.Attempt)),
-		asked:     map[string]bool{},
-	}
-	x.call = cicadaseam.MeshCall{
-		ID:          r.Header.Get(d.Headers.Attempt),
-		Method:      r.Method,
-		Host:        r.Host,
-		Target:      r.Target,
-		Body:        r.Body,
-		Service:     d.shares.Next(rt),
-		Route:       rt.Name,
-		Objective:   rt.Objective,
-		Priority:    rt.Priority,
-		Idempotent:  rt.Idempotent,
-		Nested:      x.nested,
-		Headers:     d.forwarded(r.Header),
-		Fingerprint: quarantine.Fingerprint(d.Service, r.Method, r.Target, r.Body),
-	}
-	d.budget.Request(now, x.call.Service)
-	return x
-}
-
-// isNested reports whether an id extends that of a request which the backend server
-// beside this node runs. It decides nothing but the order of requests.
-func (d *Dispatcher) isNested(id string) bool {
-	at := strings.LastIndexByte(id, '.')
-	return at > 0 && d.local.Runs(id[:at])
-}
-
-// forwarded returns the headers that go on to the backend server. What the system
-// sets itself is never taken from a caller.
-func (d *Dispatcher) forwarded(h http.Header) []cicadaseam.Header {
-	h.Del(d.Headers.Attempt)
-	h.Del(d.Headers.Deadline)
-	h.Del(d.Headers.Expected)
-	h.Del(d.Headers.Caller)
-	h.Del("Expect") // the body is whole here; nothing has to be asked first
-	out := upstream.EndToEnd(h)
-	return append(out, cicadaseam.Header{Name: d.Headers.Caller, Value: d.Service})
-}
-
-// callerTime returns how long a caller waits.
-func callerTime(v string, timeout time.Duration) time.Duration {
-	ms, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || ms <= 0 {
-		return max(usualDeadline, timeout)
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
 // perform asks targets until the request is settled.
 func (d *Dispatcher) perform(ctx context.Context, x *exchange) (reply *Reply, outcome string, reason cicadaseam.Reason) {
 	for len(x.asked) < maxAsked {
@@ -383,81 +289,3 @@
 	}
 	return time.Duration(lateShare * float64(x.route.Objective)), true
 }
-
-// again decides whether an answer leaves the request open for another target.
-func (d *Dispatcher) again(ctx context.Context, x *exchange, choice *Choice, a *cicadaseam.MeshAnswer) bool {
-	if a.Offered {
-		x.offered++
-	}
-	x.lastCause = a.Reason
-	switch a.Outcome {
-	case cicadaseam.OutcomeRan:
-		if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
-			return false
-		}
-		x.failure = a
-	case cicadaseam.OutcomeNotRun:
-		x.refusals++
-		if a.Wait > x.room {
-			x.room = a.Wait
-		}
-	default:
-		x.unknown = true
-		if !x.route.Idempotent {
-			return false
-		}
-	}
-	more := ctx.Err() == nil && x.offered < max(x.route.MaxTargets, 1)
-	d.logger.Info("attempt failed", zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("target", choice.Candidate.Node),
-		zap.Stringer("outcome", a.Outcome), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
-		zap.Duration("queued", a.Queued), zap.Duration("ran", a.Ran), zap.Duration("room", a.Wait), zap.Bool("again", more),
-		zap.Duration("age", choice.Candidate.age(time.Now())), zap.Uint64("revision", x.revision))
-	return more
-}
-
-func (c *Candidate) age(now time.Time) time.Duration { return now.Sub(c.Heard) }
-
-// settle turns the last answer into a reply.
-func (d *Dispatcher) settle(x *exchange, a *cicadaseam.MeshAnswer) (*Reply, string, cicadaseam.Reason) {
-	if a.Outcome == cicadaseam.OutcomeRan {
-		return relay(a), a.Outcome.String(), cicadaseam.ReasonNone
-	}
-	return d.giveUp(x)
-}
-
-// relay passes an answer of a backend server on.
-func relay(a *cicadaseam.MeshAnswer) *Reply {
-	return &Reply{Status: a.Status, Headers: a.Headers, Body: a.Body}
-}
-
-// giveUp answers a request that no backend server answered.
-func (d *Dispatcher) giveUp(x *exchange) (*Reply, string, cicadaseam.Reason) {
-	reason := x.lastCause
-	if reason == cicadaseam.ReasonNone {
-		reason = cicadaseam.ReasonNoTarget
-	}
-	if x.failure != nil {
-		return relay(x.failure), cicadaseam.OutcomeRan.String(), reason
-	}
-	if !x.unknown {
-		return d.refuse(x, reason, d.returnAfter(x)), cicadaseam.OutcomeNotRun.String(), reason
-	}
-	status := http.StatusBadGateway
-	if reason == cicadaseam.ReasonDeadline {
-		status = http.StatusGatewayTimeout
-	}
-	d.logger.Info("request lost", zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("route", x.route.Name), zap.Bool("nested", x.nested),
-		zap.String("reason", string(reason)), zap.Int("status", status), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
-	return &Reply{Status: status}, cicadaseam.OutcomeUnknown.String(), reason
-}
-
-// refuse answers that a request did not run and when to come back.
-func (d *Dispatcher) refuse(x *exchange, reason cicadaseam.Reason, after time.Duration) *Reply {
-	if x != nil {
-		d.logger.Info("request refused", zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("route", x.route.Name), zap.Bool("nested", x.nested),
-			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(x.asked)),
-			zap.Bool("returning", x.returning), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
-	}
-	value := strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
-	return &Reply{Status: http.StatusServiceUnavailable, Headers: []cicadaseam.Header{{Name: "Retry-After", Value: value}}}
-}
--- /dev/null
+++ b/internal/mesh/fleet/beat.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
+)
+
+// Format and FormatShort are the first byte of a datagram with a whole and with a
+// short beat.
+const (
+	Format      = 0x31
+	FormatShort = 0x32
+)
+
+// Beat is what a node tells about itself.
+type Beat struct {
+	Node string
+	Addr string
+	Zone string
+	// Epoch tells one process from the next one at the same address.
+	Epoch    int64
+	Sequence uint64
+	// Revision is the number of the configuration in force.
+	Revision uint64
+	// Leaving is set by a node that is about to end.
+	Leaving bool
+	// Blind is set while the configuration source does not answer the node.
+	Blind    bool
+	Service  string
+	Instance string
+	// Serving is set while the backend server takes requests.
+	Serving bool
+	Load    cicadaseam.MeshLoad
+	// Left are the instances beside the node that said that they leave. Other nodes
+	// remember them for the process that starts there next.
+	Left []string
+	// Marks are requests that crashed backend servers.
+	Marks []cicadaseam.Mark
+}
+
+// short is a beat of a node whose state is as its last whole one told.
+type short struct {
+	Addr     string
+	Epoch    int64
+	Sequence uint64
+	Revision uint64
+	Load     cicadaseam.MeshLoad
+}
+
+// isWhole decides whether a beat is whole. The lock is held.
+func (f *Fleet) isWhole(zone string, b Beat) bool {
+	if zone != allZones {
+		return true
+	}
+	f.sinceAll++
+	changed := shape(b) != f.told
+	if !changed && f.sinceAll < wholeEach && !f.met && len(b.Marks) == 0 {
+		return false
+	}
+	f.told = shape(b)
+	f.sinceAll = 0
+	if changed {
+		f.sinceAll = wholeEach - 2 // one more follows soon, since one may be lost
+	}
+	f.met = false
+	return true
+}
+
+func encode(b Beat, whole bool) ([]byte, error) {
+	if whole {
+		body, err := pack.Marshal(&b)
+		return append([]byte{Format}, body...), err
+	}
+	body, err := pack.Marshal(&short{Addr: b.Addr, Epoch: b.Epoch, Sequence: b.Sequence, Revision: b.Revision, Load: b.Load})
+	return append([]byte{FormatShort}, body...), err
+}
+
+// decode returns the beat in a datagram. A short one is completed by the last whole
+// one of the same process; without that it says nothing.
+func (f *Fleet) decode(data []byte) (Beat, bool) {
+	var b Beat
+	if len(data) < 2 {
+		return b, false
+	}
+	switch data[0] {
+	case Format:
+		err := pack.Unmarshal(data[1:], &b)
+		return b, err == nil && b.Addr != "" && b.Node != ""
+	case FormatShort:
+		var s short
+		if err := pack.Unmarshal(data[1:], &s); err != nil {
+			return b, false
+		}
+		return f.complete(s)
+	}
+	return b, false
+}
+
+func (f *Fleet) complete(s short) (Beat, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[s.Addr]
+	if e == nil || !e.known || e.peer.Beat.Epoch != s.Epoch {
+		return Beat{}, false
+	}
+	b := e.peer.Beat
+	b.Sequence, b.Revision, b.Load = s.Sequence, s.Revision, s.Load
+	b.Marks, b.Left = nil, nil
+	return b, true
+}
+
+// shape is what matters of a beat beside its load.
+type shapeOf struct {
+	service, instance       string
+	serving, leaving, blind bool
+}
+
+func shape(b Beat) shapeOf {
+	return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving, b.Blind}
+}
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -33,18 +33,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
-	"github.com/cicadaseam/cicadaseam/internal/base/decision"
-	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 )
 
-// Format and FormatShort are the first byte of a datagram with a whole and with a
-// short beat.
-const (
-	Format      = 0x31
-	FormatShort = 0x32
-)
-
 const (
 	// DefaultPeriod is the time between two beats in a small fleet.
 	DefaultPeriod = 500 * time.Millisecond
@@ -64,46 +55,10 @@
 	maxPeers    = 4096
 )
 
-// Beat is what a node tells about itself.
-type Beat struct {
-	Node string
-	Addr string
-	Zone string
-	// Epoch tells one process from the next one at the same address.
-	Epoch    int64
-	Sequence uint64
-	// Revision is the number of the configuration in force.
-	Revision uint64
-	// Leaving is set by a node that is about to end.
-	Leaving bool
-	// Blind is set while the configuration source does not answer the node.
-	Blind    bool
-	Service  string
-	Instance string
-	// Serving is set while the backend server takes requests.
-	Serving bool
-	Load    cicadaseam.MeshLoad
-	// Left are the instances beside the node that said that they leave. Other nodes
-	// remember them for the process that starts there next.
-	Left []string
-	// Marks are requests that crashed backend servers.
-	Marks []cicadaseam.Mark
-}
-
-// short is a beat of a node whose state is as its last whole one told.
-type short struct {
-	Addr     string
-	Epoch    int64
-	Sequence uint64
-	Revision uint64
-	Load     cicadaseam.MeshLoad
-}
-
 // Peer is another node as this one sees it. It is immutable.
 type Peer struct {
 	Beat  Beat
 	Heard time.Time
-	First time.Time
 }
 
 // entry is what is kept about one address.
@@ -196,9 +151,6 @@
 	return time.Duration(stretch * float64(f.period))
 }
 
-// Size returns how many nodes live, this one included.
-func (f *Fleet) Size() int { return len(f.Peers()) + 1 }
-
 // Learn adds addresses of nodes.
 func (f *Fleet) Learn(addrs []string) {
 	f.mu.Lock()
@@ -216,20 +168,6 @@
 	}
 }
 
-// allZones stands for the nodes of every zone.
-const allZones = ""
-
-// Tell sends a beat to all nodes soon, because the own state changed.
-func (f *Fleet) Tell() { f.TellZone(allZones) }
-
-// TellZone sends a beat to the nodes of a zone soon.
-func (f *Fleet) TellZone(zone string) {
-	select {
-	case f.soon <- zone:
-	default: // enough beats are due
-	}
-}
-
 // Run sends and receives beats until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	done := make(chan struct{})
@@ -255,73 +193,6 @@
 	}
 }
 
-// send sends a beat to every address of a zone.
-func (f *Fleet) send(now time.Time, zone string) {
-	beat := f.sample(now)
-	f.mu.Lock()
-	f.sequence++
-	beat.Sequence = f.sequence
-	whole := f.isWhole(zone, beat)
-	addrs := f.due(now, zone)
-	f.mu.Unlock()
-	data, err := encode(beat, whole)
-	if err != nil {
-		f.logger.Error("beat not encoded", decision.Error(err))
-		return
-	}
-	for _, a := range addrs {
-		f.counts.Sent.Add(1)
-		_ = f.conn.Send(a, data) // a lost beat is followed by others
-	}
-}
-
-// isWhole decides whether a beat is whole. The lock is held.
-func (f *Fleet) isWhole(zone string, b Beat) bool {
-	if zone != allZones {
-		return true
-	}
-	f.sinceAll++
-	changed := shape(b) != f.told
-	if !changed && f.sinceAll < wholeEach && !f.met && len(b.Marks) == 0 {
-		return false
-	}
-	f.told = shape(b)
-	f.sinceAll = 0
-	if changed {
-		f.sinceAll = wholeEach - 2 // one more follows soon, since one may be lost
-	}
-	f.met = false
-	return true
-}
-
-func encode(b Beat, whole bool) ([]byte, error) {
-	if whole {
-		body, err := pack.Marshal(&b)
-		return append([]byte{Format}, body...), err
-	}
-	body, err := pack.Marshal(&short{Addr: b.Addr, Epoch: b.Epoch, Sequence: b.Sequence, Revision: b.Revision, Load: b.Load})
-	return append([]byte{FormatShort}, body...), err
-}
-
-// due returns the addresses that get a beat now; silent ones get a part.
-func (f *Fleet) due(now time.Time, zone string) []string {
-	addrs := make([]string, 0, len(f.entries))
-	silence := f.silence()
-	for a, e := range f.entries {
-		if zone != allZones && e.peer.Beat.Zone != zone {
-			continue
-		}
-		if now.Sub(e.heard()) > 2*silence {
-			e.skipped++
-			if e.skipped%silentShare != 0 {
-				continue
-			}
-		}
-		addrs = append(addrs, a)
-	}
-	return addrs
-}
-
 func (e *entry) heard() time.Time {
 	if e.known {
 		return e.peer.Heard
@@ -349,40 +220,6 @@
 	}
 }
 
-// decode returns the beat in a datagram. A short one is completed by the last whole
-// one of the same process; without that it says nothing.
-func (f *Fleet) decode(data []byte) (Beat, bool) {
-	var b Beat
-	if len(data) < 2 {
-		return b, false
-	}
-	switch data[0] {
-	case Format:
-		err := pack.Unmarshal(data[1:], &b)
-		return b, err == nil && b.Addr != "" && b.Node != ""
-	case FormatShort:
-		var s short
-		if err := pack.Unmarshal(data[1:], &s); err != nil {
-			return b, false
-		}
-		return f.complete(s)
-	}
-	return b, false
-}
-
-func (f *Fleet) complete(s short) (Beat, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.entries[s.Addr]
-	if e == nil || !e.known || e.peer.Beat.Epoch != s.Epoch {
-		return Beat{}, false
-	}
-	b := e.peer.Beat
-	b.Sequence, b.Revision, b.Load = s.Sequence, s.Revision, s.Load
-	b.Marks, b.Left = nil, nil
-	return b, true
-}
-
 // Take takes a beat of another node.
 func (f *Fleet) Take(now time.Time, b Beat) {
 	if b.Addr == f.self {
@@ -404,7 +241,6 @@
 	}
 	met := !e.known || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
 	if met {
-		e.peer.First = now
 		f.met = true
 	}
 	changed := met || shape(e.peer.Beat) != shape(b)
@@ -451,16 +287,6 @@
 	return out
 }
 
-// shape is what matters of a beat beside its load.
-type shapeOf struct {
-	service, instance       string
-	serving, leaving, blind bool
-}
-
-func shape(b Beat) shapeOf {
-	return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving, b.Blind}
-}
-
 // fresh reports whether a beat is later than the last one of its address. A
 // process that started again is told by its epoch; clocks may step, so that a
 // lower epoch is believed once the old one is silent.
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -21,7 +21,6 @@
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cicadaseam/cicadaseam"
 )
@@ -111,14 +110,6 @@
 	return strings.ToLower(host)
 }
 
-// IdleTimeout returns how long callers may keep a connection idle.
-func (t *Table) IdleTimeout(fallback time.Duration) time.Duration {
-	if t.Limits.IdleTimeout > 0 {
-		return t.Limits.IdleTimeout
-	}
-	return fallback
-}
-
 // Shares deals the requests of split routes. It is safe for concurrent use.
 type Shares struct {
 	mu     sync.Mutex
--- /dev/null
+++ b/internal/mesh/target/run.go
@@ -0,0 +1,234 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/decision"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/slot"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
+)
+
+// Run runs a request, or says why not.
+func (t *Target) Run(ctx context.Context, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
+	ctx, cancel := context.WithTimeout(ctx, call.Budget)
+	defer cancel()
+	began := time.Now()
+	s, item, refused := t.admit(began, call)
+	if refused != nil {
+		return refused
+	}
+	if item != nil {
+		if refused := t.await(ctx, s, item); refused != nil {
+			return refused
+		}
+	}
+	queued := time.Since(began)
+	left := call.Budget - queued
+	if left < leastRun {
+		t.release(s, 0)
+		return t.refusal(s, cicadaseam.ReasonDeadline, 0)
+	}
+	answer := t.send(ctx, s, call, left)
+	answer.Queued = queued
+	return answer
+}
+
+// admit offers a request to the queue. Without a refusal and an item it may start.
+func (t *Target) admit(now time.Time, call *cicadaseam.MeshCall) (*server, *slot.Item, *cicadaseam.MeshAnswer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server
+	if s == nil || s.instance.Service != call.Service {
+		return nil, nil, &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonNoTarget}
+	}
+	if reason := s.unfit(now, t.lease); reason != cicadaseam.ReasonNone {
+		return nil, nil, refusalLocked(now, s, reason, 0)
+	}
+	if call.Budget < s.least(call) {
+		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonDeadline, 0)
+	}
+	item := &slot.Item{Rank: rankOf(call), Due: now.Add(call.Due), Wait: call.Wait, Work: s.expected(call), Ready: make(chan bool, 1)}
+	verdict, wait := s.queue.Offer(now, item)
+	switch verdict {
+	case slot.Started:
+		return s, nil, nil
+	case slot.Refused:
+		return nil, nil, refusalLocked(now, s, cicadaseam.ReasonQueueFull, wait)
+	}
+	t.wake(s)
+	return s, item, nil
+}
+
+// hopelessShare is the part of the expected time below which a request is not
+// started: it would take a slot and hardly ever end in time.
+const hopelessShare = 0.7
+
+// least returns the least time that a request must have left to be worth a slot.
+func (s *server) least(call *cicadaseam.MeshCall) time.Duration {
+	return time.Duration(hopelessShare * float64(s.expected(call)))
+}
+
+// expected returns how long a request is expected to run, or 0 when too little is
+// known.
+func (s *server) expected(call *cicadaseam.MeshCall) time.Duration {
+	if s.stats.samples < fewSamples {
+		return 0
+	}
+	return time.Duration(s.stats.pace * float64(call.Objective))
+}
+
+// rankOf returns the rank in which a request waits.
+func rankOf(call *cicadaseam.MeshCall) int {
+	switch {
+	case call.Nested:
+		return slot.RankNested
+	case call.Late:
+		return slot.RankLate
+	case call.Returning:
+		return min(slot.RankFirst+2*call.Priority, usualRank)
+	}
+	return min(slot.RankFirst+2*call.Priority+1, usualRank)
+}
+
+func refusalLocked(now time.Time, s *server, reason cicadaseam.Reason, wait time.Duration) *cicadaseam.MeshAnswer {
+	return &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: reason, Wait: wait, Load: s.load(now)}
+}
+
+func (t *Target) refusal(s *server, reason cicadaseam.Reason, wait time.Duration) *cicadaseam.MeshAnswer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return refusalLocked(time.Now(), s, reason, wait)
+}
+
+// wake lets the waits of a queue end while there is one. The lock is held.
+func (t *Target) wake(s *server) {
+	if s.waker {
+		return
+	}
+	s.waker = true
+	time.AfterFunc(expirePeriod, func() { t.expire(s) })
+}
+
+func (t *Target) expire(s *server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.waker = false
+	now := time.Now()
+	s.queue.Expire(now)
+	if s.queue.Waiting() > 0 {
+		t.wake(s)
+	}
+}
+
+// await waits until a queued request may start.
+func (t *Target) await(ctx context.Context, s *server, item *slot.Item) *cicadaseam.MeshAnswer {
+	select {
+	case start := <-item.Ready:
+		if start {
+			return nil
+		}
+		return t.refusal(s, cicadaseam.ReasonQueueTimeout, t.room(s, item.Rank))
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	withdrawn := s.queue.Withdraw(item)
+	t.mu.Unlock()
+	if !withdrawn && <-item.Ready {
+		t.release(s, 0)
+	}
+	reason := cicadaseam.ReasonCanceled
+	if ctx.Err() == context.DeadlineExceeded {
+		reason = cicadaseam.ReasonDeadline
+	}
+	return t.refusal(s, reason, 0)
+}
+
+// room returns how long a request of a rank would wait now.
+func (t *Target) room(s *server, rank int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.queue.Estimate(rank)
+}
+
+// release gives a slot back.
+func (t *Target) release(s *server, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.queue.Done(time.Now(), took)
+}
+
+// send runs a request that has a slot.
+func (t *Target) send(ctx context.Context, s *server, call *cicadaseam.MeshCall, left time.Duration) *cicadaseam.MeshAnswer {
+	t.mark(s, call, 1)
+	defer t.mark(s, call, -1)
+	began := time.Now()
+	result := s.client.Do(ctx, call, s.instance.ID, left)
+	took := time.Since(began)
+	if ctx.Err() == nil {
+		t.look(s, &result)
+	}
+	answer := &cicadaseam.MeshAnswer{Ran: took, Offered: result.Sent}
+	t.judge(ctx, answer, &result)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.note(now, s, call, answer, took)
+	answer.Load = s.load(now)
+	if result.Err != nil && ctx.Err() == nil {
+		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.instance.ID),
+			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), decision.Error(result.Err))
+	}
+	return answer
+}
+
+// judge tells what became of a request from what came back.
+func (t *Target) judge(ctx context.Context, answer *cicadaseam.MeshAnswer, r *upstream.Result) {
+	switch {
+	case r.Err == nil && r.Rejected:
+		answer.Outcome = cicadaseam.OutcomeNotRun
+		answer.Reason = cicadaseam.ReasonRejected
+	case r.Err == nil:
+		answer.Outcome = cicadaseam.OutcomeRan
+		answer.Status = r.Status
+		answer.Headers = r.Headers
+		answer.Body = r.Body
+	case !r.Sent:
+		answer.Outcome = cicadaseam.OutcomeNotRun
+		answer.Reason = cicadaseam.ReasonBackend
+	case ctx.Err() == context.DeadlineExceeded:
+		answer.Reason = cicadaseam.ReasonDeadline
+	case ctx.Err() != nil:
+		answer.Reason = cicadaseam.ReasonCanceled
+	default:
+		answer.Reason = cicadaseam.ReasonBackend
+	}
+}
+
+// note learns from an answer. The lock is held.
+func (t *Target) note(now time.Time, s *server, call *cicadaseam.MeshCall, answer *cicadaseam.MeshAnswer, took time.Duration) {
+	ran := answer.Outcome == cicadaseam.OutcomeRan && answer.Status < http.StatusInternalServerError
+	if !ran {
+		took = 0
+	}
+	s.queue.Done(now, took)
+	if ran {
+		s.stats.ran(now, took, call.Objective)
+		t.guard.Succeeded(now, call.Fingerprint)
+		s.refusals = 0
+		return
+	}
+	if answer.Reason == cicadaseam.ReasonCanceled {
+		return
+	}
+	s.stats.failed(now)
+	if !answer.Offered {
+		s.refusals++
+		s.downUntil = now.Add(min(downFirst<<min(s.refusals-1, 10), downLimit))
+		s.queue.Clear()
+	}
+}
