Answers that are ready behind an open request are delivered at the end of a drain

What is open after 0.85 of the grace time is given up now, which delivers what is ready. TestReadyAnswersAreDeliveredWhenTheServerGivesUp did not build before: there was no way to give up.

--- a/internal/daemon/sidecar/drain.go
+++ b/internal/daemon/sidecar/drain.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// endMargin is kept of the grace time, so that the process ends by itself.
-	endMargin = 700 * time.Millisecond
+	// giveUpShare is the part of the grace time after which requests that are still
+	// open are given up, so that the answers behind them are delivered.
+	giveUpShare = 0.85
+	// lastAnswers is the time for these answers. The rest of the grace time is kept, so
+	// that the process ends by itself.
+	lastAnswers = 200 * time.Millisecond
 	// flushTime lets the last answers leave the links.
 	flushTime = 50 * time.Millisecond
 )
@@ -17,19 +21,31 @@
 // drain ends the work of this node. It reports whether all was answered.
 func (n *Node) drain() bool {
 	began := time.Now()
-	end := began.Add(n.settings.Grace - endMargin)
+	giveUp := began.Add(time.Duration(giveUpShare * float64(n.settings.Grace)))
 	n.leaving.Store(true)
 	n.fleet.Tell()
 	n.front.Drain()
 	n.logger.Info("node leaves", zap.Int64("open", n.front.Open()), zap.Int("running", n.target.Load(began).Running))
-	time.Sleep(min(n.settings.Notice, time.Until(end)))
+	time.Sleep(min(n.settings.Notice, time.Until(giveUp)))
 	n.closing.Store(true)
 	n.fleet.Tell()
 	_ = n.listeners.calls.Close() // no new connection is taken
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), giveUp)
 	defer cancel()
 	done := n.front.Close(ctx)
 	done = n.links.Drain(ctx) && done
+	if !done {
+		n.giveUpOpen()
+	}
 	time.Sleep(flushTime)
 	return done
 }
+
+// giveUpOpen answers what is still open.
+func (n *Node) giveUpOpen() {
+	n.logger.Warn("requests given up", zap.Int64("open", n.front.Open()))
+	n.front.GiveUp()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	n.front.Close(ctx)
+}
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -244,10 +244,7 @@
 	p := &pending{method: req.Method, done: make(chan struct{}), last: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load()}
 	c.server.open.Add(1)
 	c.queue <- p
-	go func() {
-		defer close(p.done)
-		p.reply = c.server.handler(c.ctx, request(req, body))
-	}()
+	go c.handle(p, request(req, body))
 	if p.last {
 		c.watch()
 		return false
@@ -255,6 +252,17 @@
 	return true
 }
 
+// handle runs a request until it is answered, the caller has gone or the server gives
+// up.
+func (c *conn) handle(p *pending, r *dispatch.Request) {
+	defer close(p.done)
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	stop := context.AfterFunc(c.server.work, cancel)
+	defer stop()
+	p.reply = c.server.handler(ctx, r)
+}
+
 // request returns what the dispatcher needs of a request.
 func request(req *http.Request, body []byte) *dispatch.Request {
 	target := req.RequestURI
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -68,6 +68,10 @@
 	draining atomic.Bool
 	open     atomic.Int64 // requests that are not answered
 
+	// work ends when the server gives up what is still open.
+	work   context.Context
+	giveUp context.CancelFunc
+
 	mu    sync.Mutex
 	conns map[*conn]bool
 	wg    sync.WaitGroup
@@ -90,6 +94,7 @@
 		logger:  zap.NewNop(),
 		conns:   map[*conn]bool{},
 	}
+	s.work, s.giveUp = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -132,6 +137,10 @@
 // Drain makes each connection end with its next answer. Requests are still taken.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// GiveUp cancels the requests that are open. Each gets the answer of its handler to
+// that, so that the answers which are ready behind it are delivered.
+func (s *Server) GiveUp() { s.giveUp() }
+
 // Close closes the connections that have no request open, and waits until the
 // others have answered or the context ends.
 func (s *Server) Close(ctx context.Context) bool {
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -188,3 +188,28 @@
 	_, body := answer(t, r)
 	require.Equal(t, "GET /2 ", body)
 }
+
+// An answer that is ready behind one that is not is delivered all the same when the
+// server ends.
+func TestReadyAnswersAreDeliveredWhenTheServerGivesUp(t *testing.T) {
+	second := make(chan struct{})
+	s, nc, r := start(t, func(ctx context.Context, req *dispatch.Request) *dispatch.Reply {
+		if req.Path == "/2" {
+			defer close(second)
+			return echo(ctx, req)
+		}
+		<-ctx.Done()
+		return &dispatch.Reply{Status: 502}
+	}, cicadaseam.Limits{})
+	_, _ = io.WriteString(nc, get("/1")+get("/2"))
+	<-second
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.False(t, s.Close(ctx))
+	s.GiveUp()
+	resp, _ := answer(t, r)
+	require.Equal(t, 502, resp.StatusCode)
+	resp, body := answer(t, r)
+	require.Equal(t, "GET /2 ", body)
+	require.True(t, resp.Close)
+}
