--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -51,8 +51,10 @@
 	// one that carries a configuration.
 	linkSilence = 700 * time.Millisecond
 	bulkSilence = 2 * time.Second
-	// linkDial bounds the time in which a link opens.
-	linkDial          = 250 * time.Millisecond
+	// linkDial bounds the time in which a link opens, and linkPatience how long a call
+	// waits for it before another node is asked.
+	linkDial          = 2 * time.Second
+	linkPatience      = 250 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	// An address that is still in use is tried again, so often and after so long.
 	listenRetry = 50 * time.Millisecond
@@ -137,7 +139,7 @@
 	s := &n.settings
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence), mux.WithDialTimeout(linkDial))
+	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithSilence(linkSilence), mux.WithDialTimeout(linkDial), mux.WithPatience(linkPatience))
 	n.bulk = mux.NewPool(netio.New(), n.timers, mux.WithSilence(bulkSilence), mux.WithHeartbeat(bulkSilence/4))
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
 	n.guard = guard.New()
--- a/internal/link/mux/mux_test.go
+++ b/internal/link/mux/mux_test.go
@@ -256,3 +256,46 @@
 		server.Close()
 	})
 }
+
+// slowNetwork opens connections after a while.
+type slowNetwork struct {
+	pipeNetwork
+	after time.Duration
+}
+
+func (n slowNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	select {
+	case <-time.After(n.after):
+		return n.pipeNetwork.Dial(ctx, addr)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// A request does not wait for a peer that is slow to accept, and a later one finds the
+// connection open: the dial went on.
+func TestDialGoesOnWhenItsRequestLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer(HandlerFunc(func(context.Context, uint8, []byte) ([]byte, error) { return []byte("ok"), nil }))
+		timers := timer.New(rand.New(rand.NewPCG(1, 1)))
+		network := slowNetwork{pipeNetwork: pipeNetwork{accept: server.start}, after: time.Second}
+		pool := NewPool(network, timers, WithDialTimeout(2*time.Second), WithPatience(200*time.Millisecond))
+		ctx, cancel := context.WithCancel(t.Context())
+		go timers.Run(ctx)
+		go pool.Run(ctx)
+		began := time.Now()
+		_, err := pool.Request(ctx, "peer", 1, nil)
+		var link *LinkError
+		require.ErrorAs(t, err, &link)
+		require.False(t, link.Sent)
+		require.Equal(t, 200*time.Millisecond, time.Since(began))
+		time.Sleep(900 * time.Millisecond)
+		answer, err := pool.Request(ctx, "peer", 1, nil)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(answer))
+		require.Equal(t, int64(1), pool.Counters().Dials.Load())
+		cancel()
+		synctest.Wait()
+		server.Close()
+	})
+}
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -53,6 +53,7 @@
 	silence     time.Duration
 	idle        time.Duration
 	dialTimeout time.Duration
+	patience    time.Duration
 	counts      Counters
 
 	mu    sync.Mutex
@@ -84,6 +85,10 @@
 // WithDialTimeout bounds a dial.
 func WithDialTimeout(d time.Duration) Option { return func(p *Pool) { p.dialTimeout = d } }
 
+// WithPatience bounds how long a request waits for a connection to open. The dial goes
+// on, so that a peer that is slow to accept serves later requests.
+func WithPatience(d time.Duration) Option { return func(p *Pool) { p.patience = d } }
+
 // NewPool returns an empty pool.
 func NewPool(network cicadaseam.Network, timers *timer.Service, opts ...Option) *Pool {
 	p := &Pool{
@@ -93,6 +98,7 @@
 		silence:     DefaultSilence,
 		idle:        DefaultIdle,
 		dialTimeout: DefaultDialTimeout,
+		patience:    time.Hour,
 		peers:       map[string]*peer{},
 	}
 	p.life, p.end = context.WithCancel(context.Background())
@@ -145,8 +151,12 @@
 	}
 	dialing := pr.dialing
 	pr.mu.Unlock()
+	patience := time.NewTimer(p.patience)
+	defer patience.Stop()
 	select {
 	case <-dialing:
+	case <-patience.C:
+		return nil, &LinkError{Peer: addr, Reason: "dial: not open yet"}
 	case <-ctx.Done():
 		return nil, &LinkError{Peer: addr, Reason: "dial: " + context.Cause(ctx).Error()}
 	}
