The race detector is quiet over the mesh, the sidecar and the adapter

The id of the instance was read beside its renewal; the tests of package revision read their source without its lock. go test -race ./internal/mesh/... ./internal/daemon/sidecar ./platform passes.

--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,21 @@
 	s.changed = make(chan struct{})
 }
 
+// count returns how many calls were made.
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// forget drops the history while documents are written that nobody hears of.
+func (s *source) forget(docs ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = len(s.log) + 1
+	s.log = append(s.log, docs...)
+}
+
 func (s *source) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,9 +144,8 @@
 		}
 		time.Sleep(gatherTime)
 		require.Equal(t, uint64(8), k.Number())
-		require.Less(t, s.calls, 8) // a quick succession costs fewer polls
-		s.first = len(s.log) + 1    // the history is dropped while nothing was heard
-		s.log = append(s.log, "12", "13")
+		require.Less(t, s.count(), 8) // a quick succession costs fewer polls
+		s.forget("12", "13")
 		time.Sleep(pollWait + time.Second)
 		require.Equal(t, uint64(13), k.Number())
 	})
@@ -161,11 +176,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSource()
 		s.setDown(true)
-		asked := ""
+		var asked atomic.Value
 		other := New(newSource(), noFetch)
 		require.NoError(t, other.Take([]byte("4")))
 		k := New(s, func(_ context.Context, addr string, have uint64) ([]byte, error) {
-			asked = addr
+			asked.Store(addr)
 			return other.Since(have)
 		})
 		go k.Run(t.Context())
@@ -180,7 +195,7 @@
 		require.Equal(t, uint64(4), k.Number())
 		k.Heard(t.Context(), "near", 5, true)
 		time.Sleep(behindFor)
-		require.Equal(t, "near", asked)
+		require.Equal(t, "near", asked.Load())
 		require.Equal(t, uint64(5), k.Number())
 	})
 }
@@ -189,14 +204,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSource()
 		s.write("1")
-		reader := false
-		k := New(s, noFetch, WithReader(func() bool { return reader }))
+		var reader atomic.Bool
+		k := New(s, noFetch, WithReader(reader.Load))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go k.Run(ctx)
 		time.Sleep(checkPeriod + time.Second)
-		require.LessOrEqual(t, s.calls, 2)
-		reader = true
+		require.LessOrEqual(t, s.count(), 2)
+		reader.Store(true)
 		time.Sleep(time.Second)
 		s.write("2")
 		time.Sleep(time.Second)
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -167,7 +167,7 @@
 	t.mark(s, call, 1)
 	defer t.mark(s, call, -1)
 	began := time.Now()
-	result := s.client.Do(ctx, call, s.instance.ID, left)
+	result := s.client.Do(ctx, call, s.id, left)
 	took := time.Since(began)
 	if ctx.Err() == nil {
 		t.look(s, &result)
@@ -180,7 +180,7 @@
 	t.note(now, s, call, answer, took)
 	answer.Load = s.load(now)
 	if result.Err != nil && ctx.Err() == nil {
-		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.instance.ID),
+		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.id),
 			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), decision.Error(result.Err))
 	}
 	return answer
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -62,6 +62,7 @@
 
 // server is the current instance with what belongs to it.
 type server struct {
+	id       string // of the instance; it never changes
 	instance cicadaseam.Instance
 	client   *upstream.Client
 	queue    *slot.Queue
@@ -196,6 +197,7 @@
 		t.server.client.Close()
 	}
 	t.server = &server{
+		id:        x.ID,
 		instance:  x,
 		client:    upstream.New(x.Addr, t.headers),
 		queue:     slot.New(x.Slots),
