Read once more: one reader of answers for both clients, dead pieces out

Package internal/client/wire serves call/runner and mesh/upstream, which read heads of answers, peeked at kept connections and listed hop-by-hop headers each for itself. front and the sidecar wait by wait.Group. Out: the setting [backend] heartbeat, which nothing read, a logger of front that nothing used, and Result.Closing. Comments and help texts of examples, demo and the bench plan speak of the code. Behaviour is as before but for the setting: a file that names it is now refused.

--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,4 +1,4 @@
-// Package examples holds the two deployments of the brief as trees and as
+// Package examples holds two deployments, peachtree and instituto, as trees and as
 // settings of a node.
 //
 // # Usage
--- a/internal/bench/plan/plan.go
+++ b/internal/bench/plan/plan.go
@@ -2,7 +2,7 @@
 //
 // # Model
 //
-// N nodes stand in 10 zones of 3 regions, as the letter asks to design for,
+// N nodes stand in 10 zones of 3 regions, as docs/developers.md asks to design for,
 // with a backend server of one of 19 services each.
 //
 // # Usage
@@ -19,7 +19,7 @@
 	"github.com/cicadaseam/cicadaseam"
 )
 
-// Counts of the letter.
+// Counts of the fleet that the system is designed for.
 const (
 	Zones    = 10
 	Regions  = 3
--- a/internal/call/runner/conn.go
+++ b/internal/call/runner/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
 // inlineBody is the largest body, in bytes, that is written before the answer is
@@ -116,7 +118,7 @@
 // its end, since a backend server may answer without reading all of it.
 func (c *conn) receive(req *http.Request, maxAnswer int) (Result, bool) {
 	c.limit.N = maxHead
-	resp, err := c.answer(req)
+	resp, err := wire.ReadHead(c.r, req)
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "read the head of the answer")}, false
 	}
@@ -131,30 +133,13 @@
 	return Result{Status: resp.StatusCode, Headers: headersOf(resp.Header), Body: body}, !resp.Close
 }
 
-// answer reads the head of the final answer. Interim ones are passed over.
-func (c *conn) answer(req *http.Request) (*http.Response, error) {
-	for range maxInterim {
-		resp, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the backend server changes the protocol unasked")
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-	return nil, errors.Newf("more than %d interim answers", maxInterim)
-}
-
 // usable reports whether a kept connection is open and quiet.
 func (c *conn) usable() bool {
 	if c.r.Buffered() > 0 {
 		return false
 	}
 	if c.raw != nil {
-		return c.quiet()
+		return wire.Quiet(c.raw)
 	}
 	var b [1]byte
 	if err := c.nc.SetReadDeadline(past); err != nil {
@@ -163,15 +148,3 @@
 	_, err := c.nc.Read(b[:])
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
-
-// quiet peeks at the socket without waiting. Nothing to read is what an open
-// connection between two requests has to show.
-func (c *conn) quiet() bool {
-	var b [1]byte
-	var peeked error
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EINTR)
-}
--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -38,6 +38,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
 // Names of the headers that a backend server sees.
@@ -53,8 +54,6 @@
 const (
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
-	// maxInterim bounds the interim answers before the final one.
-	maxInterim = 8
 	// maxHead bounds the head of an answer, in bytes.
 	maxHead = 1 << 20
 )
@@ -181,38 +180,19 @@
 	return req, nil
 }
 
-// hopByHop are headers of one connection, which are not passed on.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true,
-	"Content-Length": true,
-}
-
 func headersOf(h http.Header) []cicadaseam.Header {
 	out := make([]cicadaseam.Header, 0, len(h))
 	for name, values := range h {
-		if !hopByHop[name] {
+		if !wire.HopByHop[name] {
 			out = appendHeader(out, name, values)
 		}
 	}
 	return out
 }
 
-// RequestHeaders returns the headers of a request that are passed on. Headers
-// named in Connection belong to the connection too.
+// RequestHeaders returns the headers of a request that are passed on.
 func RequestHeaders(h http.Header) []cicadaseam.Header {
-	var named []string
-	for _, list := range h.Values("Connection") {
-		named = append(named, splitTokens(list)...)
-	}
-	out := make([]cicadaseam.Header, 0, len(h))
-	for name, values := range h {
-		if !hopByHop[name] && !ownHeaders[name] && !slices.Contains(named, name) {
-			out = appendHeader(out, name, values)
-		}
-	}
-	return out
+	return slices.DeleteFunc(wire.EndToEnd(h), func(x cicadaseam.Header) bool { return ownHeaders[x.Name] })
 }
 
 // ownHeaders are set by the runner; what a caller sends under these names
@@ -225,14 +205,3 @@
 	}
 	return out
 }
-
-// splitTokens returns the names of headers in a list, in canonical form.
-func splitTokens(list string) []string {
-	var out []string
-	for _, part := range bytes.Split([]byte(list), []byte(",")) {
-		if name := string(bytes.TrimSpace(part)); name != "" {
-			out = append(out, http.CanonicalHeaderKey(name))
-		}
-	}
-	return out
-}
--- a/internal/mesh/upstream/headers.go
+++ b/internal/client/wire/headers.go
@@ -1,4 +1,4 @@
-package upstream
+package wire
 
 import (
 	"net/http"
@@ -7,8 +7,8 @@
 	"github.com/cicadaseam/cicadaseam"
 )
 
-// hopByHop are the headers of one connection, which are not passed on.
-var hopByHop = map[string]bool{
+// HopByHop are the headers of one connection, which are not passed on.
+var HopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true,
@@ -26,7 +26,7 @@
 	}
 	out := make([]cicadaseam.Header, 0, len(h))
 	for name, values := range h {
-		if hopByHop[name] || named[name] {
+		if HopByHop[name] || named[name] {
 			continue
 		}
 		for _, v := range values {
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -29,7 +29,7 @@
 
 // commands are the subcommands.
 type commands struct {
-	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a deployment of the brief in one process and check its promises"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run an example deployment in one process and check its promises"`
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
 	Sidecar  *sidecarCommand  `arg:"subcommand:sidecar" help:"run a mesh proxy beside a backend server of the platform"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell what happened to one request from the logs of several nodes"`
--- a/internal/daemon/demo/demo.go
+++ b/internal/daemon/demo/demo.go
@@ -1,4 +1,4 @@
-// Package demo runs one of the brief's deployments in one process, over real
+// Package demo runs one of the example deployments in one process, over real
 // loopback TCP, and checks its promises.
 //
 // # Usage
--- a/internal/daemon/demo/deployment.go
+++ b/internal/daemon/demo/deployment.go
@@ -22,7 +22,7 @@
 	Share float64
 }
 
-// Deployment is one of the two deployments of the brief.
+// Deployment is one of the two example deployments.
 type Deployment struct {
 	Name     string
 	Tree     string // file in package examples
--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -28,7 +28,6 @@
 	// BackendAddr is where the backend server of this node listens.
 	BackendAddr string
 	Lease       time.Duration
-	Heartbeat   time.Duration
 
 	RetryRatio  float64
 	RetrySlack  float64
@@ -54,7 +53,6 @@
 		settings.String(&s.Metrics, "listen", "metrics", "", "address for metrics, HTTP; none when empty"),
 		settings.Must(settings.String(&s.Store, "store", "address", "", "address of the platform's store")),
 		settings.String(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are dropped"),
-		settings.Duration(&s.Heartbeat, "backend", "heartbeat", time.Second, 10*time.Millisecond, time.Minute, "time between two announcements"),
 		settings.Duration(&s.Lease, "backend", "lease", target.DefaultLease, 100*time.Millisecond, 10*time.Minute, "time after which a backend server that does not renew is taken as gone"),
 		settings.Float(&s.RetryRatio, "retry", "ratio", dispatch.DefaultAllowance.Ratio, 0, 10, "repeats a request", "repeats that the fleet may make for each request"),
 		settings.Float(&s.RetrySlack, "retry", "slack", dispatch.DefaultAllowance.Slack, 0, 1e6, "repeats", "repeats that the fleet may make in a window beyond that"),
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
@@ -149,7 +150,7 @@
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.keeper, n.fleet, n.target, linkCaller{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithBudget(dispatch.NewBudget(now, allowance(s))))
-	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithLogger(n.logger))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits))
 }
 
 // tell sends a beat soon, once there is a fleet.
@@ -218,7 +219,7 @@
 	n.dispatch.SetAllowance(allowance(&s))
 	n.target.SetLease(s.Lease)
 	old.RetryRatio, old.RetrySlack, old.RetryWindow = s.RetryRatio, s.RetrySlack, s.RetryWindow
-	old.Lease, old.Heartbeat, old.LogLevel = s.Lease, s.Heartbeat, s.LogLevel
+	old.Lease, old.LogLevel = s.Lease, s.LogLevel
 	n.logger.Info("settings reloaded", zap.Float64("retry-ratio", s.RetryRatio), zap.Duration("lease", s.Lease), zap.Bool("restart-needed", old != s))
 }
 
@@ -246,16 +247,10 @@
 
 // finish waits for the duties, which have been told to end.
 func (n *Node) finish() {
-	ended := make(chan struct{})
-	go func() {
-		n.links.Close()
-		n.wg.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-time.After(finishTime):
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
+	defer cancel()
+	n.duty(n.links.Close)
+	wait.Group(ctx, &n.wg) // the process ends in any case
 }
 
 func (n *Node) start(ctx context.Context) {
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -8,7 +8,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/call/quarantine"
-	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
+	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
 // exchange is one request on its way.
@@ -87,7 +87,7 @@
 	h.Del(d.Headers.Expected)
 	h.Del(d.Headers.Caller)
 	h.Del("Expect") // the body is whole here; nothing has to be asked first
-	out := upstream.EndToEnd(h)
+	out := wire.EndToEnd(h)
 	return append(out, cicadaseam.Header{Name: d.Headers.Caller, Value: d.Service})
 }
 
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -32,9 +32,8 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
 
@@ -63,7 +62,6 @@
 type Server struct {
 	handler Handler
 	limits  func() cicadaseam.Limits
-	logger  *zap.Logger
 
 	draining atomic.Bool
 	open     atomic.Int64 // requests that are not answered
@@ -83,15 +81,11 @@
 // WithLimits sets where the limits in force are found.
 func WithLimits(f func() cicadaseam.Limits) Option { return func(s *Server) { s.limits = f } }
 
-// WithLogger sets the logger of decisions.
-func WithLogger(l *zap.Logger) Option { return func(s *Server) { s.logger = l } }
-
 // New returns a server that hands requests to a handler.
 func New(handler Handler, opts ...Option) *Server {
 	s := &Server{
 		handler: handler,
 		limits:  func() cicadaseam.Limits { return cicadaseam.Limits{} },
-		logger:  zap.NewNop(),
 		conns:   map[*conn]bool{},
 	}
 	s.work, s.giveUp = context.WithCancel(context.Background())
@@ -150,17 +144,7 @@
 		c.closeIdle()
 	}
 	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Group(ctx, &s.wg)
 }
 
 // limitsNow returns the limits in force, with defaults.
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -38,6 +38,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
 const (
@@ -52,7 +53,6 @@
 	// inlineBody is the largest body, in bytes, that is written before the answer
 	// is read.
 	inlineBody = 16 << 10
-	maxInterim = 8
 	maxStray   = 4
 	maxAnswer  = 64 << 20 // bytes
 )
@@ -72,7 +72,6 @@
 	Body     []byte
 	Sent     bool
 	Rejected bool
-	Closing  bool
 	Err      error
 }
 
@@ -172,13 +171,7 @@
 	if x.r.Buffered() > 0 || x.raw == nil {
 		return false
 	}
-	var b [1]byte
-	var peeked error
-	err := x.raw.Read(func(fd uintptr) bool {
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EINTR)
+	return wire.Quiet(x.raw)
 }
 
 func (c *Client) connect(ctx context.Context, call *cicadaseam.MeshCall) (*conn, error) {
@@ -311,7 +304,7 @@
 
 // readOne reads one whole answer and the id that it echoes.
 func (c *Client) readOne(x *conn, req *http.Request) (r Result, echoed string, keep bool) {
-	resp, err := readHead(x.r, req)
+	resp, err := wire.ReadHead(x.r, req)
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "read the head of the answer")}, "", false
 	}
@@ -325,26 +318,10 @@
 	if d := keepAliveTime(resp.Header.Get("Keep-Alive")); d > 0 {
 		x.life = scale(d)
 	}
-	r = Result{Status: resp.StatusCode, Headers: EndToEnd(resp.Header), Body: body, Closing: resp.Close}
+	r = Result{Status: resp.StatusCode, Headers: wire.EndToEnd(resp.Header), Body: body}
 	return r, resp.Header.Get(c.headers.Attempt), !resp.Close
 }
 
-func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for range maxInterim {
-		resp, err := http.ReadResponse(r, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the backend server changes the protocol unasked")
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-	return nil, errors.Newf("more than %d interim answers", maxInterim)
-}
-
 // keepAliveTime returns the timeout of a Keep-Alive header, or 0.
 func keepAliveTime(v string) time.Duration {
 	for _, part := range strings.Split(v, ",") {
