Time on the way is taken off a call's budget

Cause: a target counted Budget, Wait and Due from when it read a call, since clocks are not shared.

Now a call carries its sender and the sender's steady clock. A transit.Gauge keeps the least difference of the two clocks over 30 to 60 s; what a call exceeds it by is taken off. Whole beats carry a stamp too, so that the least is known before the first call.

Ruled out: shared clocks (the time of day jumps), cancellation alone (it lies behind the call on the same link).

Links are at format 3, beats at 0x33 and 0x34, since messages changed.

--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -11,6 +11,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/decision"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
 // answerMargin is how much longer than the target's time an answer is waited for.
@@ -21,6 +22,7 @@
 
 // Run implements dispatch.Links.
 func (c linkCaller) Run(ctx context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
+	call.Sender, call.Stamp = c.node.sender, transit.Now()
 	payload, err := method.Encode(call)
 	if err != nil {
 		c.node.logger.Error("call not encoded", zap.String("request", call.ID), decision.Error(err))
@@ -70,6 +72,7 @@
 		if n.closing.Load() {
 			return method.Encode(&cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonDraining})
 		}
+		n.age(&call)
 		return method.Encode(n.target.Run(ctx, &call))
 	case method.Document:
 		var have uint64
@@ -88,6 +91,14 @@
 	return nil, errors.Newf("unknown method %d", m)
 }
 
+// age takes the time that a call was on its way off the times that it has left.
+func (n *Node) age(call *cicadaseam.MeshCall) {
+	late := n.gauge.Late(transit.Now(), call.Sender, call.Stamp)
+	call.Budget -= late
+	call.Wait = max(call.Wait-late, 0)
+	call.Due -= late
+}
+
 // fetch asks another node for what follows a revision.
 func (n *Node) fetch(ctx context.Context, addr string, have uint64) ([]byte, error) {
 	payload, err := method.Encode(&have)
--- a/internal/daemon/sidecar/page_test.go
+++ b/internal/daemon/sidecar/page_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
 )
 
@@ -21,11 +22,11 @@
 
 // newTestNode returns a node that listens on loopback and does not run.
 func newTestNode(t *testing.T) *Node {
-	s := Settings{Name: "n", Zone: "z", Service: "s"}
+	s := Settings{Name: "n", Zone: "z", Service: "s", Lease: time.Second}
 	for _, to := range []*string{&s.Calls, &s.Ready, &s.Backend, &s.Links} {
 		*to = "127.0.0.1:0"
 	}
-	n, err := New(s, Platform{})
+	n, err := New(s, Platform{Headers: cicadaseam.DefaultMeshHeaders()})
 	require.NoError(t, err)
 	t.Cleanup(n.closeListeners)
 	return n
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -45,6 +45,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
 const (
@@ -77,6 +78,7 @@
 	platform Platform
 	logger   *zap.Logger
 	epoch    int64
+	sender   uint64 // of this process, in its calls
 
 	timers *timer.Service
 	pool   *mux.Pool
@@ -88,6 +90,7 @@
 	keeper   *revision.Keeper
 	target   *target.Target
 	guard    *guard.Guard
+	gauge    *transit.Gauge
 	dispatch *dispatch.Dispatcher
 	front    *front.Server
 	meter    *Meter
@@ -144,6 +147,8 @@
 	n.bulk = mux.NewPool(netio.New(), n.timers, mux.WithSilence(bulkSilence), mux.WithHeartbeat(bulkSilence/4))
 	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
 	n.guard = guard.New()
+	n.gauge = transit.New()
+	n.sender = transit.Sender(s.peerAddr(), n.epoch)
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.Lease), target.WithGuard(n.guard), target.WithChanged(n.instanceChanged))
 	n.keeper = revision.New(n.platform.Source, n.fetch, revision.WithLogger(n.logger), revision.WithChanged(n.revisionChanged), revision.WithReader(n.isReader))
 	n.fleet = fleet.New(s.peerAddr(), conn, n.timers, n.beat, fleet.WithPeriod(s.Beat), fleet.WithLogger(n.logger), fleet.WithOnBeat(n.heard))
@@ -192,11 +197,13 @@
 		Load:     n.target.Load(now),
 		Left:     n.target.Left(),
 		Marks:    n.guard.Marks(),
+		Stamp:    transit.Now(),
 	}
 }
 
 // heard takes a beat of another node.
 func (n *Node) heard(b fleet.Beat) {
+	n.gauge.Late(transit.Now(), transit.Sender(b.Addr, b.Epoch), b.Stamp)
 	n.guard.Take(time.Now(), b.Marks)
 	n.keeper.Heard(context.Background(), b.Addr, b.Revision, b.Zone == n.settings.Zone)
 }
--- a/internal/link/frame/frame.go
+++ b/internal/link/frame/frame.go
@@ -27,7 +27,7 @@
 
 // Format is the number of the protocol, sent in the Hello frame of each
 // connection. A peer with another number is refused whole.
-const Format = 2
+const Format = 3
 
 // Sizes in bytes.
 const (
--- a/internal/mesh/fleet/beat.go
+++ b/internal/mesh/fleet/beat.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 )
@@ -8,8 +10,8 @@
 // Format and FormatShort are the first byte of a datagram with a whole and with a
 // short beat.
 const (
-	Format      = 0x31
-	FormatShort = 0x32
+	Format      = 0x33
+	FormatShort = 0x34
 )
 
 // Beat is what a node tells about itself.
@@ -36,6 +38,8 @@
 	Left []string
 	// Marks are requests that crashed backend servers.
 	Marks []cicadaseam.Mark
+	// Stamp is the time of the steady clock of the node. Short beats have none.
+	Stamp time.Duration
 }
 
 // short is a beat of a node whose state is as its last whole one told.
@@ -105,7 +109,7 @@
 	}
 	b := e.peer.Beat
 	b.Sequence, b.Revision, b.Load = s.Sequence, s.Revision, s.Load
-	b.Marks, b.Left = nil, nil
+	b.Marks, b.Left, b.Stamp = nil, nil, 0
 	return b, true
 }
 
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -211,3 +211,18 @@
 	require.Equal(t, []string{"i-1"}, f.Recall("a"))
 	require.Empty(t, f.Recall("b"))
 }
+
+// The stamp of a whole beat says nothing of the short ones that follow it.
+func TestShortBeatsHaveNoStamp(t *testing.T) {
+	f, _ := newFleet()
+	b := beat("a", 1, 1)
+	b.Stamp = time.Hour
+	f.Take(epoch, b)
+	b.Sequence = 2
+	data, err := encode(b, false)
+	require.NoError(t, err)
+	got, ok := f.decode(data)
+	require.True(t, ok)
+	require.Zero(t, got.Stamp)
+	require.Equal(t, "desk", got.Service)
+}
--- a/mesh.go
+++ b/mesh.go
@@ -162,6 +162,10 @@
 	Returning   bool
 	Idempotent  bool
 	Fingerprint uint64
+	// Sender is the process that sent the call, and Stamp the time of its steady clock
+	// when it counted the times above. They are 0 in a call that stays in its node.
+	Sender uint64
+	Stamp  time.Duration
 }
 
 // MeshAnswer is what came of a MeshCall. Body is complete.
