A beat costs no list of the whole fleet

Cause: each beat built the list of live nodes anew, so that its cost grew with the square of the fleet. Now a beat of a node that is in the list swaps in its own entry; the list is made anew when a node comes, and at most each 100 ms.

Ruled out: a list of one atomic cell a node, which would change under a request that holds it.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -95,7 +95,7 @@
 
 // Fleet is what the dispatcher needs of the other nodes.
 type Fleet interface {
-	Peers() []fleet.Peer
+	Peers() []*fleet.Peer
 }
 
 // Config is where the dispatcher finds its table; nil before there is one.
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -18,14 +18,14 @@
 // world is a fleet in which each target answers by a script.
 type world struct {
 	table   *route.Table
-	peers   []fleet.Peer
+	peers   []*fleet.Peer
 	answers map[string]func(call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer
 	asked   []string
 }
 
 func (w *world) Table() *route.Table { return w.table }
 
-func (w *world) Peers() []fleet.Peer { return w.peers }
+func (w *world) Peers() []*fleet.Peer { return w.peers }
 
 func (w *world) Run(_ context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
 	w.asked = append(w.asked, addr)
@@ -56,7 +56,7 @@
 func (w *world) add(addr string, answer cicadaseam.MeshAnswer) {
 	beat := fleet.Beat{Addr: addr, Node: addr, Zone: "north", Service: "desk", Serving: true, Instance: "i-" + addr}
 	beat.Load = cicadaseam.MeshLoad{Slots: 10, Pace: 200 + 200*len(w.peers)}
-	w.peers = append(w.peers, fleet.Peer{Beat: beat, Heard: time.Now()})
+	w.peers = append(w.peers, &fleet.Peer{Beat: beat, Heard: time.Now()})
 	w.answers[addr] = func(*cicadaseam.MeshCall) *cicadaseam.MeshAnswer { a := answer; return &a }
 }
 
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -261,17 +261,17 @@
 }
 
 // candidates returns the nodes whose backend server runs a service.
-func candidates(service string, self *Candidate, selfService string, peers []fleet.Peer) []Candidate {
+func candidates(service string, self *Candidate, selfService string, peers []*fleet.Peer) []Candidate {
 	var out []Candidate
 	if self != nil && selfService == service {
 		out = append(out, *self)
 	}
-	for i := range peers {
-		b := &peers[i].Beat
+	for _, p := range peers {
+		b := &p.Beat
 		if !b.Serving || b.Service != service {
 			continue
 		}
-		out = append(out, Candidate{Addr: b.Addr, Node: b.Node, Zone: b.Zone, Instance: b.Instance, Leaving: b.Leaving, Load: b.Load, Heard: peers[i].Heard})
+		out = append(out, Candidate{Addr: b.Addr, Node: b.Node, Zone: b.Zone, Instance: b.Instance, Leaving: b.Leaving, Load: b.Load, Heard: p.Heard})
 	}
 	return out
 }
--- a/internal/mesh/fleet/beat.go
+++ b/internal/mesh/fleet/beat.go
@@ -104,7 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[s.Addr]
-	if e == nil || !e.known || e.peer.Beat.Epoch != s.Epoch {
+	if e == nil || e.peer == nil || e.peer.Beat.Epoch != s.Epoch {
 		return Beat{}, false
 	}
 	b := e.peer.Beat
--- a/internal/mesh/fleet/duty.go
+++ b/internal/mesh/fleet/duty.go
@@ -6,10 +6,10 @@
 // in rendezvous order of a key among the nodes that live and can do it. Nodes that
 // differ in their view do the duty twice, or for a moment not at all; nothing may
 // rest on it but cost.
-func First(key, self, zone string, peers []Peer) bool {
+func First(key, self, zone string, peers []*Peer) bool {
 	own := score(key, self)
-	for i := range peers {
-		b := &peers[i].Beat
+	for _, p := range peers {
+		b := &p.Beat
 		if b.Zone != zone || b.Blind || b.Leaving {
 			continue
 		}
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -26,6 +26,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,9 @@
 	// silentShare is the share of beats that a silent address still gets.
 	silentShare = 4
 	// wholeEach is how often a beat is whole though nothing changed.
-	wholeEach   = 8
+	wholeEach = 8
+	// publishEach is how often the silent nodes are looked for as beats arrive.
+	publishEach = 100 * time.Millisecond
 	maxDatagram = 4 << 10
 	maxPeers    = 4096
 )
@@ -63,13 +66,15 @@
 
 // entry is what is kept about one address.
 type entry struct {
-	peer    Peer
-	known   bool // a beat was heard
+	peer    *Peer // the last beat; nil before the first one
+	place   int   // of the peer in the list of those that are not silent, or -1
 	added   time.Time
 	skipped int
 	left    map[string]bool // told by any process at the address
 }
 
+func newEntry(now time.Time) *entry { return &entry{added: now, place: -1} }
+
 // Fleet is the view of one node. It is safe for concurrent use.
 type Fleet struct {
 	self   string
@@ -87,9 +92,11 @@
 	told     shapeOf // by the last whole beat
 	sinceAll int     // beats since the last whole one to all
 	met      bool    // a node was met that may know nothing of this one
-	peers    atomic.Pointer[[]Peer]
-	soon     chan string // the zone that is told, or all
-	counts   Counters
+	peers    atomic.Pointer[[]*Peer]
+	// published is when the list of nodes was last made anew.
+	published time.Time
+	soon      chan string // the zone that is told, or all
+	counts    Counters
 }
 
 // Counters count the traffic of beats.
@@ -126,7 +133,7 @@
 		entries: map[string]*entry{},
 		soon:    make(chan string, 4),
 	}
-	f.peers.Store(&[]Peer{})
+	f.peers.Store(&[]*Peer{})
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -137,7 +144,7 @@
 func (f *Fleet) Counters() *Counters { return &f.counts }
 
 // Peers returns the other nodes that are not silent.
-func (f *Fleet) Peers() []Peer { return *f.peers.Load() }
+func (f *Fleet) Peers() []*Peer { return *f.peers.Load() }
 
 // Period returns the current time between two beats.
 func (f *Fleet) Period() time.Duration {
@@ -158,7 +165,7 @@
 	fresh := false
 	for _, a := range addrs {
 		if a != f.self && a != "" && f.entries[a] == nil && len(f.entries) < maxPeers {
-			f.entries[a] = &entry{added: now}
+			f.entries[a] = newEntry(now)
 			fresh = true
 		}
 	}
@@ -194,7 +201,7 @@
 }
 
 func (e *entry) heard() time.Time {
-	if e.known {
+	if e.peer != nil {
 		return e.peer.Heard
 	}
 	return e.added
@@ -232,23 +239,25 @@
 			f.mu.Unlock()
 			return
 		}
-		e = &entry{added: now}
+		e = newEntry(now)
 		f.entries[b.Addr] = e
 	}
 	if !f.fresh(now, e, b) {
 		f.mu.Unlock()
 		return
 	}
-	met := !e.known || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
+	met := e.peer == nil || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
 	if met {
 		f.met = true
 	}
 	changed := met || shape(e.peer.Beat) != shape(b)
-	e.known = true
 	e.remember(b.Left)
-	e.peer.Beat = b
-	e.peer.Heard = now
-	f.publish(now)
+	e.peer = &Peer{Beat: b, Heard: now}
+	if e.place < 0 || now.Sub(f.published) >= publishEach {
+		f.publish(now)
+	} else {
+		f.replace(e)
+	}
 	f.mu.Unlock()
 	if changed {
 		f.logger.Info("peer changed", zap.String("peer", b.Node), zap.Bool("met", met), zap.String("service", b.Service),
@@ -291,7 +300,7 @@
 // process that started again is told by its epoch; clocks may step, so that a
 // lower epoch is believed once the old one is silent.
 func (f *Fleet) fresh(now time.Time, e *entry, b Beat) bool {
-	if !e.known {
+	if e.peer == nil {
 		return true
 	}
 	old := e.peer.Beat
@@ -315,11 +324,14 @@
 
 // publish swaps in the nodes that are not silent. The lock is held.
 func (f *Fleet) publish(now time.Time) {
+	f.published = now
 	silence := f.silence()
 	old := f.Peers()
-	out := make([]Peer, 0, len(old)+1)
+	out := make([]*Peer, 0, len(old)+1)
 	for _, e := range f.entries {
-		if e.known && now.Sub(e.peer.Heard) <= silence {
+		e.place = -1
+		if e.peer != nil && now.Sub(e.peer.Heard) <= silence {
+			e.place = len(out)
 			out = append(out, e.peer)
 		}
 	}
@@ -328,3 +340,10 @@
 	}
 	f.peers.Store(&out)
 }
+
+// replace swaps in the newest beat of one node of the list. The lock is held.
+func (f *Fleet) replace(e *entry) {
+	out := slices.Clone(f.Peers())
+	out[e.place] = e.peer
+	f.peers.Store(&out)
+}
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -140,13 +140,13 @@
 	first := func(blind string) []string {
 		var out []string
 		for _, self := range names {
-			var peers []Peer
+			var peers []*Peer
 			for _, n := range names {
 				if n != self {
-					peers = append(peers, Peer{Beat: Beat{Node: n, Zone: "north", Blind: n == blind}})
+					peers = append(peers, &Peer{Beat: Beat{Node: n, Zone: "north", Blind: n == blind}})
 				}
 			}
-			peers = append(peers, Peer{Beat: Beat{Node: "far", Zone: "south"}})
+			peers = append(peers, &Peer{Beat: Beat{Node: "far", Zone: "south"}})
 			if self != blind && First("reader", self, "north", peers) {
 				out = append(out, self)
 			}
@@ -212,6 +212,25 @@
 	require.Empty(t, f.Recall("b"))
 }
 
+// A node that went silent is left out soon after its time, also between two ticks, and
+// a list that a request holds does not change under it.
+func TestSilentNodeIsLeftOutAsOthersAreHeard(t *testing.T) {
+	f, _ := newFleet()
+	f.Take(epoch, beat("a", 1, 1))
+	f.Take(epoch, beat("b", 1, 1))
+	held := f.Peers()
+	before := *held[0]
+	for i := range 40 {
+		f.Take(epoch.Add(time.Duration(i)*50*time.Millisecond), beat("b", 1, uint64(i+2)))
+	}
+	require.Len(t, f.Peers(), 1)
+	require.Equal(t, "b", f.Peers()[0].Beat.Addr)
+	require.Len(t, held, 2)
+	require.Equal(t, before, *held[0])
+	f.Take(epoch.Add(2*time.Second), beat("a", 1, 2))
+	require.Len(t, f.Peers(), 2)
+}
+
 // The stamp of a whole beat says nothing of the short ones that follow it.
 func TestShortBeatsHaveNoStamp(t *testing.T) {
 	f, _ := newFleet()
@@ -226,3 +245,22 @@
 	require.Zero(t, got.Stamp)
 	require.Equal(t, "desk", got.Service)
 }
+
+// A beat that changes nothing but the load costs no look at the whole fleet: 240 beats
+// a second of 720 nodes are to stay under 1% of a core, 41 us each.
+func BenchmarkTake(b *testing.B) {
+	for _, nodes := range []int{90, 720} {
+		b.Run(strconv.Itoa(nodes), func(b *testing.B) {
+			f, _ := newFleet()
+			for i := range nodes {
+				f.Take(epoch, beat(strconv.Itoa(i), 1, 1))
+			}
+			b.ReportAllocs()
+			sequence := uint64(1)
+			for b.Loop() {
+				sequence++
+				f.Take(epoch, beat(strconv.Itoa(int(sequence)%nodes), 1, sequence))
+			}
+		})
+	}
+}
--- a/internal/mesh/fleet/send.go
+++ b/internal/mesh/fleet/send.go
@@ -45,7 +45,7 @@
 	addrs := make([]string, 0, len(f.entries))
 	silence := f.silence()
 	for a, e := range f.entries {
-		if zone != allZones && e.peer.Beat.Zone != zone {
+		if zone != allZones && (e.peer == nil || e.peer.Beat.Zone != zone) {
 			continue
 		}
 		if now.Sub(e.heard()) > 2*silence {
