Who is met is greeted; nobody else hears of it

Cause: each meeting sent a whole beat to all. When all 88 machines of the grown claims site lose power, each node meets 87 others within two seconds (5,692 meetings in the log), so that each sent thousands of datagrams a second on links of 5 Mbit/s; links were silent for 700 ms, closed, and peers lost and met again (1,000 to 1,700 meetings each two seconds until second 45).

Now a node that is met gets two whole beats of its own, the second with the next round. Learned addresses are greeted too, in place of a beat to all.

--- a/internal/mesh/fleet/beat.go
+++ b/internal/mesh/fleet/beat.go
@@ -58,7 +58,7 @@
 	}
 	f.sinceAll++
 	changed := shape(b) != f.told
-	if !changed && f.sinceAll < wholeEach && !f.met && len(b.Marks) == 0 {
+	if !changed && f.sinceAll < wholeEach && len(b.Marks) == 0 {
 		return false
 	}
 	f.told = shape(b)
@@ -66,7 +66,6 @@
 	if changed {
 		f.sinceAll = wholeEach - 2 // one more follows soon, since one may be lost
 	}
-	f.met = false
 	return true
 }
 
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -12,7 +12,10 @@
 // of the fleet without the directory.
 //
 // Most beats are short: they carry the load and what tells that the rest is as it
-// was. A whole one follows each change, and every few beats in any case.
+// was. A whole one follows each change, and every few beats in any case. A node that
+// is met, or met again, is greeted with a whole beat of its own, and its next one is
+// whole too: no other node has to hear of it, so that a fleet that starts at once sends
+// each pair two greetings, not each meeting a beat to all.
 //
 // Load travels on beats and on every answer; nothing rests on it.
 //
@@ -52,6 +55,9 @@
 	silentShare = 4
 	// wholeEach is how often a beat is whole though nothing changed.
 	wholeEach = 8
+	// greetings is the number of whole beats that a node gets when it is met. One may
+	// be lost.
+	greetings = 2
 	// publishEach is how often the silent nodes are looked for as beats arrive.
 	publishEach = 100 * time.Millisecond
 	maxDatagram = 4 << 10
@@ -71,9 +77,11 @@
 	added   time.Time
 	skipped int
 	left    map[string]bool // told by any process at the address
+	// owed is the number of whole beats that go to the address before others do.
+	owed int
 }
 
-func newEntry(now time.Time) *entry { return &entry{added: now, place: -1} }
+func newEntry(now time.Time) *entry { return &entry{added: now, place: -1, owed: greetings} }
 
 // Fleet is the view of one node. It is safe for concurrent use.
 type Fleet struct {
@@ -91,11 +99,11 @@
 	sequence uint64
 	told     shapeOf // by the last whole beat
 	sinceAll int     // beats since the last whole one to all
-	met      bool    // a node was met that may know nothing of this one
 	peers    atomic.Pointer[[]*Peer]
 	// published is when the list of nodes was last made anew.
 	published time.Time
 	soon      chan string // the zone that is told, or all
+	greeting  chan struct{}
 	counts    Counters
 }
 
@@ -122,16 +130,17 @@
 // sample returns.
 func New(self string, conn cicadaseam.PacketConn, timers *timer.Service, sample func(now time.Time) Beat, opts ...Option) *Fleet {
 	f := &Fleet{
-		self:    self,
-		conn:    conn,
-		timers:  timers,
-		logger:  zap.NewNop(),
-		period:  DefaultPeriod,
-		sample:  sample,
-		onBeat:  func(Beat) {},
-		now:     time.Now,
-		entries: map[string]*entry{},
-		soon:    make(chan string, 4),
+		self:     self,
+		conn:     conn,
+		timers:   timers,
+		logger:   zap.NewNop(),
+		period:   DefaultPeriod,
+		sample:   sample,
+		onBeat:   func(Beat) {},
+		now:      time.Now,
+		entries:  map[string]*entry{},
+		soon:     make(chan string, 4),
+		greeting: make(chan struct{}, 1),
 	}
 	f.peers.Store(&[]*Peer{})
 	for _, opt := range opts {
@@ -171,7 +180,7 @@
 	}
 	f.mu.Unlock()
 	if fresh {
-		f.Tell()
+		f.greetSoon()
 	}
 }
 
@@ -196,6 +205,8 @@
 			}
 		case zone := <-f.soon:
 			f.send(f.now(), zone)
+		case <-f.greeting:
+			f.greet(f.now())
 		}
 	}
 }
@@ -248,7 +259,7 @@
 	}
 	met := e.peer == nil || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
 	if met {
-		f.met = true
+		e.owed = greetings
 	}
 	changed := met || shape(e.peer.Beat) != shape(b)
 	e.remember(b.Left)
@@ -264,7 +275,7 @@
 			zap.Bool("serving", b.Serving), zap.Bool("leaving", b.Leaving), zap.Uint64("revision", b.Revision))
 	}
 	if met {
-		f.Tell()
+		f.greetSoon()
 	}
 	f.onBeat(b)
 }
