One keeper of connections for both clients of a backend server

An endless head of a backend server costs a sidecar 1 MB at most and an error; before it was read without end.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -2,21 +2,14 @@
 //
 // # Model
 //
-// A request is sent once, on a connection of the runner's own that is kept
-// between requests. The goroutine of the call writes the request and reads the
-// answer itself. The HTTP client of the standard library hands each request to
-// two other goroutines and repeats some requests by itself when a kept
-// connection turns out to be closed, also ones with an Idempotency-Key header;
-// the runner does neither.
-//
-// A kept connection is looked at before it is used: one that the backend server
-// has closed, or on which it said something unasked, is dropped, and no byte of
-// the request is lost with it.
+// A request is sent once, on a connection of package keep. The HTTP client of the
+// standard library hands each request to two other goroutines and repeats some
+// requests by itself when a kept connection turns out to be closed, also ones with
+// an Idempotency-Key header; the runner does neither.
 //
 // # Invariants
 //
 //   - Sent is false only when no byte of the request was written.
-//   - A connection is kept only after a whole answer, read to its end.
 //
 // # Usage
 //
@@ -25,10 +18,10 @@
 package runner
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -38,6 +31,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/keep"
 	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
@@ -51,12 +45,8 @@
 // DefaultConnections bounds the connections when a backend server says nothing.
 const DefaultConnections = 120
 
-const (
-	dialTimeout = time.Second
-	idleTimeout = 30 * time.Second
-	// maxHead bounds the head of an answer, in bytes.
-	maxHead = 1 << 20
-)
+// idleTimeout is how long a connection is kept without a request.
+const idleTimeout = 30 * time.Second
 
 // Result is what came of one request.
 type Result struct {
@@ -70,55 +60,44 @@
 	Err      error
 }
 
-// Dialer opens connections to the backend server.
-type Dialer func(ctx context.Context, addr string) (net.Conn, error)
-
 // Runner sends requests to one backend server. It is safe for concurrent use.
 type Runner struct {
-	addr string
-	dial Dialer
-	pool *pool
+	pool *keep.Pool
+	// tokens bounds the connections in use.
+	tokens chan struct{}
+	dial   []keep.Option
 }
 
 // Option changes a new Runner.
 type Option func(*Runner)
 
 // WithConnections bounds the connections to the backend server.
-func WithConnections(n int) Option { return func(r *Runner) { r.pool = newPool(n) } }
+func WithConnections(n int) Option { return func(r *Runner) { r.tokens = make(chan struct{}, n) } }
 
 // WithDialer replaces TCP, for tests.
-func WithDialer(d Dialer) Option { return func(r *Runner) { r.dial = d } }
+func WithDialer(d keep.Dialer) Option {
+	return func(r *Runner) { r.dial = []keep.Option{keep.WithDialer(d)} }
+}
 
 // New returns a runner for the backend server at addr.
 func New(addr string, opts ...Option) *Runner {
-	d := net.Dialer{Timeout: dialTimeout}
-	r := &Runner{
-		addr: addr,
-		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
-		pool: newPool(DefaultConnections),
-	}
+	r := &Runner{tokens: make(chan struct{}, DefaultConnections)}
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.pool = keep.New(addr, idleTimeout, r.dial...)
 	return r
 }
 
 // Addr returns the address of the backend server.
-func (r *Runner) Addr() string { return r.addr }
+func (r *Runner) Addr() string { return r.pool.Addr() }
 
 // Close drops idle connections and keeps none from now on.
-func (r *Runner) Close() { r.pool.close() }
+func (r *Runner) Close() { r.pool.Close() }
 
 // Refuses reports whether the backend server refuses a new connection, which
 // tells a crashed process from a connection that was only closed.
-func (r *Runner) Refuses(ctx context.Context) bool {
-	nc, err := r.dial(ctx, r.addr)
-	if err != nil {
-		return true
-	}
-	_ = nc.Close() // it was opened only to see whether it opens
-	return false
-}
+func (r *Runner) Refuses(ctx context.Context) bool { return r.pool.Try(ctx) != nil }
 
 // Run sends a call once and reads its whole answer.
 func (r *Runner) Run(ctx context.Context, call *cicadaseam.Call, maxAnswer int) Result {
@@ -126,31 +105,58 @@
 	if err != nil {
 		return Result{Err: err}
 	}
-	if err := r.pool.acquire(ctx); err != nil {
+	if err := r.acquire(ctx); err != nil {
 		return Result{Err: errors.Wrap(err, "wait for a connection")}
 	}
-	defer r.pool.release()
-	c, err := r.connect(ctx)
+	defer r.release()
+	conn, err := r.pool.Get(ctx, time.Now(), idleTimeout)
 	if err != nil {
 		return Result{Err: err}
 	}
-	result, reusable := c.exchange(ctx, req, maxAnswer)
+	var result Result
+	sent, reusable := conn.Exchange(ctx, len(call.Body), func() error { return write(conn, req) }, func() (whole bool) {
+		result, whole = receive(conn, req, maxAnswer)
+		return whole
+	})
 	if reusable {
-		r.pool.put(c)
+		r.pool.Put(time.Now(), conn)
 	}
+	result.Sent = sent
 	return result
 }
 
-// connect takes a kept connection or opens a new one.
-func (r *Runner) connect(ctx context.Context) (*conn, error) {
-	if c := r.pool.get(time.Now()); c != nil {
-		return c, nil
+// acquire waits until one more connection may be in use.
+func (r *Runner) acquire(ctx context.Context) error {
+	select {
+	case r.tokens <- struct{}{}:
+		return nil
+	default:
+	}
+	select {
+	case r.tokens <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (r *Runner) release() { <-r.tokens }
+
+func write(conn *keep.Conn, req *http.Request) error {
+	w := bufio.NewWriter(conn)
+	if err := req.Write(w); err != nil {
+		return err
 	}
-	nc, err := r.dial(ctx, r.addr)
+	return w.Flush()
+}
+
+// receive reads an answer. whole is false when the connection ends with it.
+func receive(conn *keep.Conn, req *http.Request, maxAnswer int) (r Result, whole bool) {
+	a, err := conn.Read(req, maxAnswer)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to backend server %s", r.addr)
+		return Result{TooLarge: errors.Is(err, keep.ErrLarge), Err: err}, false
 	}
-	return newConn(nc), nil
+	return Result{Status: a.Status, Headers: headersOf(a.Header), Body: a.Body}, !a.Close
 }
 
 func (r *Runner) request(ctx context.Context, call *cicadaseam.Call) (*http.Request, error) {
@@ -161,7 +167,7 @@
 	req := &http.Request{
 		Method:        call.Method,
 		URL:           target,
-		Host:          r.addr,
+		Host:          r.pool.Addr(),
 		Header:        make(http.Header, len(call.Headers)+3),
 		ContentLength: int64(len(call.Body)),
 	}
--- a/internal/call/runner/runner_test.go
+++ b/internal/call/runner/runner_test.go
@@ -185,11 +185,7 @@
 }
 
 // keepsOne reports whether the runner has a connection that it would use again.
-func keepsOne(r *Runner) bool {
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	return len(r.pool.idle) > 0 && r.pool.idle[0].usable()
-}
+func keepsOne(r *Runner) bool { return r.pool.Usable(time.Now()) }
 
 func TestKeptConnectionOutlivesTheDeadlineOfItsCall(t *testing.T) {
 	addr, connections := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -32,8 +32,8 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/call/entry"
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
-	"github.com/cicadaseam/cicadaseam/internal/call/runner"
 	"github.com/cicadaseam/cicadaseam/internal/call/target"
+	"github.com/cicadaseam/cicadaseam/internal/client/keep"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/config/feed"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
@@ -59,7 +59,7 @@
 	settings Settings
 	log      cicadaseam.Log
 	network  cicadaseam.Network
-	dialer   runner.Dialer
+	dialer   keep.Dialer
 	logger   *zap.Logger
 	seed     uint64
 
@@ -93,7 +93,7 @@
 func WithNetwork(n cicadaseam.Network) Option { return func(x *Node) { x.network = n } }
 
 // WithBackendDialer replaces TCP to the backend server, for tests.
-func WithBackendDialer(d runner.Dialer) Option { return func(x *Node) { x.dialer = d } }
+func WithBackendDialer(d keep.Dialer) Option { return func(x *Node) { x.dialer = d } }
 
 // WithLogger sets the logger.
 func WithLogger(l *zap.Logger) Option { return func(x *Node) { x.logger = l } }
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -2,10 +2,9 @@
 //
 // # Model
 //
-// A request is sent once, on a connection that carries one request at a time. A
-// kept connection is used again only while it is young, quiet and open. Each
-// answer is known by the id that the backend server echoes: an answer with
-// another id was meant for an earlier request and is passed over.
+// A request is sent once, on a connection of package keep. Each answer is known by the
+// id that the backend server echoes: an answer with another id was meant for an
+// earlier request and is passed over.
 //
 // # Invariants
 //
@@ -13,7 +12,6 @@
 //   - Result.Rejected is set only when the backend server itself says that it did
 //     not run the request.
 //   - A result without an error holds the whole answer to this request.
-//   - A connection is kept only after a whole answer with nothing behind it.
 //
 // # Usage
 //
@@ -22,27 +20,22 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/keep"
 	"github.com/cicadaseam/cicadaseam/internal/client/wire"
 )
 
 const (
-	dialTimeout = time.Second
 	// defaultIdle is how long a connection may be idle when the backend server
 	// names no time; idleShare is the part of that time in which it is used.
 	defaultIdle = 5 * time.Second
@@ -50,11 +43,10 @@
 	// onceIdle is the longest idle time of a connection that takes a request
 	// which must not run twice: a backend server may have dropped it unseen.
 	onceIdle = time.Second
-	// inlineBody is the largest body, in bytes, that is written before the answer
-	// is read.
-	inlineBody = 16 << 10
-	maxStray   = 4
-	maxAnswer  = 64 << 20 // bytes
+	// anyIdle is longer than any connection is idle.
+	anyIdle   = time.Hour
+	maxStray  = 4
+	maxAnswer = 64 << 20 // bytes
 )
 
 // Errors that tell what happened to a request.
@@ -62,7 +54,6 @@
 	ErrStray     = errors.New("too many answers to other requests")
 	ErrNoSeal    = errors.New("a success without a seal")
 	ErrForeignID = errors.New("an answer to another request ended the connection")
-	ErrLarge     = errors.New("the answer is too large")
 )
 
 // Result is what came of one request.
@@ -75,178 +66,58 @@
 	Err      error
 }
 
-// Client holds the connections to one backend server. It is safe for concurrent
-// use.
+// Client sends requests to one backend server. It is safe for concurrent use.
 type Client struct {
-	addr    string
 	headers cicadaseam.MeshHeaders
-	dialer  net.Dialer
-	dials   atomic.Int64
-
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
+	pool    *keep.Pool
 }
 
 // New returns a client without connections.
 func New(addr string, headers cicadaseam.MeshHeaders) *Client {
-	return &Client{addr: addr, headers: headers, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}}
+	return &Client{headers: headers, pool: keep.New(addr, scale(defaultIdle))}
 }
 
 // Dials returns how many connections were opened.
-func (c *Client) Dials() int64 { return c.dials.Load() }
+func (c *Client) Dials() int64 { return c.pool.Dials() }
 
 // Refuses reports whether the backend server refuses a new connection, which tells
 // a crashed process from a connection that was only closed.
 func (c *Client) Refuses(ctx context.Context) bool {
-	nc, err := c.dialer.DialContext(ctx, "tcp", c.addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = nc.Close() // it was opened only to see whether it opens
-	return false
+	return errors.Is(c.pool.Try(ctx), syscall.ECONNREFUSED)
 }
 
 // Close drops the idle connections and keeps none from now on.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for _, x := range c.idle {
-		x.close()
-	}
-	c.idle = nil
-}
-
-// conn is one connection.
-type conn struct {
-	nc   net.Conn
-	raw  syscall.RawConn
-	r    *bufio.Reader
-	used time.Time
-	// life is how long the connection may be idle.
-	life time.Duration
-}
-
-func (x *conn) close() { _ = x.nc.Close() } // nothing is left to lose on it
-
-// get returns a kept connection that was idle for less than limit, the last used
-// first, or nil.
-func (c *Client) get(now time.Time, limit time.Duration) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		x := c.idle[last]
-		idle := now.Sub(x.used)
-		if idle <= x.life && idle > limit {
-			return nil
-		}
-		c.idle = c.idle[:last]
-		if idle <= x.life && x.quiet() {
-			return x
-		}
-		x.close()
-	}
-	return nil
-}
-
-func (c *Client) put(x *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		x.close()
-		return
-	}
-	x.used = time.Now()
-	c.idle = append(c.idle, x)
-	for len(c.idle) > 0 && x.used.Sub(c.idle[0].used) > c.idle[0].life {
-		c.idle[0].close()
-		c.idle = c.idle[1:]
-	}
-}
-
-// quiet reports whether a kept connection is open and has nothing to read.
-func (x *conn) quiet() bool {
-	if x.r.Buffered() > 0 || x.raw == nil {
-		return false
-	}
-	return wire.Quiet(x.raw)
-}
-
-func (c *Client) connect(ctx context.Context, call *cicadaseam.MeshCall) (*conn, error) {
-	limit := onceIdle
-	if call.Idempotent {
-		limit = time.Hour
-	}
-	if x := c.get(time.Now(), limit); x != nil {
-		return x, nil
-	}
-	c.dials.Add(1)
-	nc, err := c.dialer.DialContext(ctx, "tcp", c.addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "connect to backend server %s", c.addr)
-	}
-	x := &conn{nc: nc, r: bufio.NewReader(nc), life: scale(defaultIdle)}
-	if sc, ok := nc.(syscall.Conn); ok {
-		x.raw, _ = sc.SyscallConn() // without it the connection is not kept
-	}
-	return x, nil
-}
+func (c *Client) Close() { c.pool.Close() }
 
 func scale(d time.Duration) time.Duration { return time.Duration(idleShare * float64(d)) }
 
 // Do sends a request to the instance with an id and reads the whole answer. left
 // is the time that the backend server is given.
 func (c *Client) Do(ctx context.Context, call *cicadaseam.MeshCall, instance string, left time.Duration) Result {
-	x, err := c.connect(ctx, call)
+	limit := onceIdle
+	if call.Idempotent {
+		limit = anyIdle
+	}
+	conn, err := c.pool.Get(ctx, time.Now(), limit)
 	if err != nil {
 		return Result{Err: err}
 	}
-	stop := context.AfterFunc(ctx, x.close)
-	written := c.send(x, call, instance, left)
-	result, keep := c.receive(x, call)
-	result.Sent = true
-	keep = stop() && keep && finished(written)
-	if !keep {
-		x.close() // which ends a body that is still being written
-		return result
-	}
-	c.put(x)
-	return result
-}
-
-// finished reports whether a request was written to its end.
-func finished(written <-chan error) bool {
-	select {
-	case err := <-written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
-// send writes a request. A large body is written while the answer is read, since
-// a backend server may answer before it has read all of it.
-func (c *Client) send(x *conn, call *cicadaseam.MeshCall, instance string, left time.Duration) <-chan error {
-	written := make(chan error, 1)
 	head := c.head(call, instance, left)
-	if len(call.Body) <= inlineBody {
-		_, err := x.nc.Write(append(head, call.Body...))
-		written <- err
-		return written
-	}
-	go func() {
-		buffers := net.Buffers{head, call.Body}
-		_, err := buffers.WriteTo(x.nc)
-		written <- err
-	}()
-	return written
+	var result Result
+	sent, reusable := conn.Exchange(ctx, len(call.Body), func() error { return conn.WriteAll(head, call.Body) }, func() (whole bool) {
+		result, whole = c.receive(conn, call)
+		return whole
+	})
+	if reusable {
+		c.pool.Put(time.Now(), conn)
+	}
+	result.Sent = sent
+	return result
 }
 
 func (c *Client) head(call *cicadaseam.MeshCall, instance string, left time.Duration) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(call.Body))
+	b.Grow(512)
 	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	for _, h := range call.Headers {
 		b.WriteString(h.Name + ": " + h.Value + "\r\n")
@@ -264,18 +135,18 @@
 }
 
 // receive reads answers until the one to this request.
-func (c *Client) receive(x *conn, call *cicadaseam.MeshCall) (Result, bool) {
+func (c *Client) receive(conn *keep.Conn, call *cicadaseam.MeshCall) (Result, bool) {
 	req := &http.Request{Method: call.Method}
 	for range maxStray {
-		result, echoed, keep := c.readOne(x, req)
+		result, echoed, whole := c.readOne(conn, req)
 		if result.Err != nil {
 			return result, false
 		}
 		foreign := echoed != call.ID && (echoed != "" || result.Status < http.StatusMultipleChoices)
 		if !foreign {
-			return c.judge(result), keep && x.r.Buffered() == 0
+			return c.judge(result), whole
 		}
-		if !keep {
+		if !whole {
 			return Result{Err: ErrForeignID}, false
 		}
 	}
@@ -302,24 +173,18 @@
 	return r
 }
 
-// readOne reads one whole answer and the id that it echoes.
-func (c *Client) readOne(x *conn, req *http.Request) (r Result, echoed string, keep bool) {
-	resp, err := wire.ReadHead(x.r, req)
+// readOne reads one whole answer and the id that it echoes. whole is false when the
+// connection ends with it.
+func (c *Client) readOne(conn *keep.Conn, req *http.Request) (r Result, echoed string, whole bool) {
+	a, err := conn.Read(req, maxAnswer)
 	if err != nil {
-		return Result{Err: errors.Wrap(err, "read the head of the answer")}, "", false
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil {
-		return Result{Err: errors.Wrap(err, "read the answer")}, "", false
-	}
-	if len(body) > maxAnswer {
-		return Result{Err: ErrLarge}, "", false
+		return Result{Err: err}, "", false
 	}
-	if d := keepAliveTime(resp.Header.Get("Keep-Alive")); d > 0 {
-		x.life = scale(d)
+	if d := keepAliveTime(a.Header.Get("Keep-Alive")); d > 0 {
+		conn.SetLife(scale(d))
 	}
-	r = Result{Status: resp.StatusCode, Headers: wire.EndToEnd(resp.Header), Body: body}
-	return r, resp.Header.Get(c.headers.Attempt), !resp.Close
+	r = Result{Status: a.Status, Headers: wire.EndToEnd(a.Header), Body: a.Body}
+	return r, a.Header.Get(c.headers.Attempt), !a.Close
 }
 
 // keepAliveTime returns the timeout of a Keep-Alive header, or 0.
--- a/internal/mesh/upstream/upstream_test.go
+++ b/internal/mesh/upstream/upstream_test.go
@@ -192,7 +192,7 @@
 	r := do(t, c, x)
 	require.NoError(t, r.Err)
 	require.Equal(t, 413, r.Status)
-	require.Empty(t, c.idle)
+	require.Zero(t, c.pool.Idle())
 }
 
 // A request that must not run twice takes no connection that was idle for long,
@@ -203,7 +203,9 @@
 		return true
 	}), headers)
 	require.NoError(t, do(t, c, call("q1")).Err)
-	c.idle[0].used = time.Now().Add(-onceIdle - time.Millisecond)
+	kept, err := c.pool.Get(context.Background(), time.Now(), anyIdle)
+	require.NoError(t, err)
+	c.pool.Put(time.Now().Add(-onceIdle-time.Millisecond), kept)
 	once := call("q2")
 	once.Idempotent = false
 	require.NoError(t, do(t, c, once).Err)
