Targets that are slow to reach are left out; full ones are not asked in vain

Now the time on the way (took less queued and ran, or half of the time when no answer came) is part of the time that is expected at a target; it halves each second without news. After two targets without room a request asks only those whose last news leave hope.

TestTargetThatIsSlowToReachIsLeftOut, TestFullTargetsAreNotAskedInVain.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -221,7 +221,8 @@
 			x.lastCause = cicadaseam.ReasonDeadline
 			break
 		}
-		choice, ok := d.placer.Pick(now, Need{Route: x.route.Name, Objective: x.route.Objective, Left: x.onTime.Sub(now), Idempotent: x.route.Idempotent, NearOnly: x.far >= maxFar}, d.candidates(now, x.call.Service), x.asked)
+		need := x.need(now)
+		choice, ok := d.placer.Pick(now, need, d.candidates(now, x.call.Service), x.asked)
 		if !ok {
 			break
 		}
@@ -234,8 +235,9 @@
 			x.lastCause = cicadaseam.ReasonBudget
 			break
 		}
-		answer := d.send(ctx, x, &choice)
-		d.placer.Ended(time.Now(), choice.Candidate.Addr, answer)
+		answer := d.send(ctx, x, &need, &choice)
+		ended := time.Now()
+		d.placer.Ended(ended, choice.Candidate.Addr, ended.Sub(now), answer)
 		if answer.Outcome == cicadaseam.OutcomeRan {
 			d.placer.Size(x.route.Name, len(x.call.Body)+len(answer.Body))
 		}
@@ -261,31 +263,14 @@
 const localNode = "local"
 
 // send offers a request to one target.
-func (d *Dispatcher) send(ctx context.Context, x *exchange, choice *Choice) *cicadaseam.MeshAnswer {
-	now := time.Now()
+func (d *Dispatcher) send(ctx context.Context, x *exchange, need *Need, choice *Choice) *cicadaseam.MeshAnswer {
 	call := x.call
-	call.Budget = x.deadline.Sub(now) - answerMargin
-	call.Wait, call.Late = allowedWait(now, x, choice.Work)
-	call.Due = x.onTime.Sub(now)
+	call.Budget = need.Rest
+	call.Wait, call.Late = need.wait(choice.Work)
+	call.Due = need.Left
 	call.Returning = x.returning
 	if choice.Candidate.Local {
 		return d.local.Run(ctx, &call)
 	}
 	return d.links.Run(ctx, choice.Candidate.Addr, &call)
 }
-
-// allowedWait returns how long a request may wait for a slot. While it can be
-// answered on time it may wait for that; once it is late it takes what is free
-// soon, behind those that are on time. A nested call may wait as long as the request
-// that made it: refused, it would have wasted that one's slot.
-func allowedWait(now time.Time, x *exchange, work time.Duration) (wait time.Duration, late bool) {
-	if x.nested {
-		return max(x.deadline.Sub(now)-answerMargin-work, 0), false
-	}
-	rest := x.onTime.Sub(now)
-	wait = time.Duration(onTimeShare*float64(rest)) - work
-	if wait > 0 {
-		return wait, false
-	}
-	return time.Duration(lateShare * float64(x.route.Objective)), true
-}
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -39,19 +39,15 @@
 	provenAfter = 100 * time.Millisecond
 	// usualPace is the pace of a target that told none, in thousandths.
 	usualPace = 330
-	thousand  = 1000
-	kilobyte  = 1024
+	// enoughRefusals is the number of targets without room after which only those are
+	// asked that are expected to have some.
+	enoughRefusals = 2
+	thousand       = 1000
+	kilobyte       = 1024
 	// sizeShare is the weight of a new sample in the mean size of a route's bodies.
 	sizeShare = 0.05
 )
 
-const (
-	// avoidFirst and avoidLimit bound the time for which a target is left out
-	// after a link to it failed.
-	avoidFirst = 500 * time.Millisecond
-	avoidLimit = 4 * time.Second
-)
-
 // Candidate is a node that may run a request.
 type Candidate struct {
 	Addr     string
@@ -66,22 +62,6 @@
 	Heard time.Time
 }
 
-// track is what this node knows of a target beside its beats.
-type track struct {
-	load     cicadaseam.MeshLoad
-	loadAt   time.Time
-	inFlight int
-	// sent counts the requests sent since the load was told.
-	sent     int
-	failures int
-	avoid    time.Time
-	instance string
-	// used is when a request was last sent there, or when it was first seen.
-	used    time.Time
-	proven  bool
-	triedAt time.Time // when the first request went to a target that is not proven
-}
-
 // Placer chooses the target of a request. It is a plain state machine behind a
 // lock and reads no clock.
 type Placer struct {
@@ -101,6 +81,37 @@
 	Idempotent bool
 	// NearOnly leaves out the targets of other zones.
 	NearOnly bool
+	// Rest is the time until its answer is of no use.
+	Rest time.Duration
+	// Nested requests are calls of a backend server.
+	Nested bool
+	// Refusals counts the targets that had no room for it.
+	Refusals int
+}
+
+// wait returns how long a request may wait for a slot. While it can be answered on time
+// it may wait for that; once it is late it takes what is free soon, behind those that
+// are on time. A nested call may wait as long as the request that made it: refused, it
+// would have wasted that one's slot.
+func (n *Need) wait(work time.Duration) (wait time.Duration, late bool) {
+	if n.Nested {
+		return max(n.Rest-work, 0), false
+	}
+	wait = time.Duration(onTimeShare*float64(n.Left)) - work
+	if wait > 0 {
+		return wait, false
+	}
+	return time.Duration(lateShare * float64(n.Objective)), true
+}
+
+// hopeless reports whether a target that told its load a time ago will have no room
+// either. The first refusals are asked for, since news may be old and ranks differ.
+func (n *Need) hopeless(work, wait, age time.Duration) bool {
+	if n.Refusals < enoughRefusals {
+		return false
+	}
+	allowed, _ := n.wait(work)
+	return wait-age > allowed
 }
 
 // NewPlacer returns a placer for a node in a zone.
@@ -135,6 +146,9 @@
 			continue
 		}
 		cost, work, wait := p.cost(now, t, c, need)
+		if need.hopeless(work, wait, now.Sub(t.loadAt)) {
+			continue
+		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 			choice = Choice{Candidate: *c, Work: work, Wait: wait}
@@ -153,29 +167,6 @@
 	return choice, true
 }
 
-// track returns what is known of a candidate; newer news from its beat are taken.
-func (p *Placer) track(now time.Time, c *Candidate) *track {
-	t := p.tracks[c.Addr]
-	if t == nil || t.instance != c.Instance {
-		in := 0
-		if t != nil {
-			in = t.inFlight
-		}
-		t = &track{instance: c.Instance, inFlight: in, used: now}
-		p.tracks[c.Addr] = t
-	}
-	if c.Heard.After(t.loadAt) {
-		t.take(c.Heard, c.Load)
-	}
-	return t
-}
-
-func (t *track) take(now time.Time, l cicadaseam.MeshLoad) {
-	t.load = l
-	t.loadAt = now
-	t.sent = 0
-}
-
 // cost estimates what it costs to send a request to a target now.
 func (p *Placer) cost(now time.Time, t *track, c *Candidate, need Need) (cost float64, work, wait time.Duration) {
 	pace := t.load.Pace
@@ -188,7 +179,7 @@
 	if occupied >= slots {
 		wait = work * time.Duration(occupied-slots+1) / time.Duration(slots)
 	}
-	cost = lateCost * lateness(work+wait, need)
+	cost = lateCost * lateness(work+wait+t.wayNow(now), need)
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
@@ -235,31 +226,6 @@
 	p.sizes[route] = mean + sizeShare*(float64(bytes)-mean)
 }
 
-// Ended takes what came of a request at a target.
-func (p *Placer) Ended(now time.Time, addr string, answer *cicadaseam.MeshAnswer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t := p.tracks[addr]
-	if t == nil {
-		return
-	}
-	t.inFlight = max(t.inFlight-1, 0)
-	if answer.Reason == cicadaseam.ReasonLink {
-		t.failures++
-		t.proven = false
-		t.avoid = now.Add(min(avoidFirst<<min(t.failures-1, 8), avoidLimit))
-		return
-	}
-	t.failures = 0
-	t.proven = t.proven || answer.Reason != cicadaseam.ReasonDeadline && answer.Reason != cicadaseam.ReasonCanceled
-	if answer.Load.Slots > 0 {
-		t.take(now, answer.Load)
-	}
-	if answer.Reason == cicadaseam.ReasonBackend && !answer.Offered {
-		t.avoid = now.Add(avoidFirst / 2)
-	}
-}
-
 // candidates returns the nodes whose backend server runs a service.
 func candidates(service string, self *Candidate, selfService string, peers []*fleet.Peer) []Candidate {
 	var out []Candidate
--- a/internal/mesh/dispatch/place_test.go
+++ b/internal/mesh/dispatch/place_test.go
@@ -69,8 +69,8 @@
 	counts := map[string]int{}
 	near, far := candidate("near", "north", cicadaseam.MeshLoad{Pace: 330}), candidate("far", "south", cicadaseam.MeshLoad{Pace: 330})
 	pick(t, p, near, far)
-	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: near.Load})
-	p.Ended(epoch, "far", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: far.Load})
+	p.Ended(epoch, "near", 0, &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: near.Load})
+	p.Ended(epoch, "far", 0, &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Load: far.Load})
 	for range 40 {
 		counts[pick(t, p, near, far)]++
 	}
@@ -82,7 +82,7 @@
 	p := newPlacer()
 	near, far := candidate("near", "north", cicadaseam.MeshLoad{}), candidate("far", "south", cicadaseam.MeshLoad{})
 	require.Equal(t, "near", pick(t, p, near, far))
-	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink})
+	p.Ended(epoch, "near", 0, &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLink})
 	require.Equal(t, "far", pick(t, p, near, far))
 	choice, ok := p.Pick(epoch.Add(avoidFirst), need, []Candidate{near, far}, map[string]bool{})
 	require.True(t, ok)
@@ -147,7 +147,8 @@
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
-			wait, late := allowedWait(epoch, &exchange{route: route, onTime: epoch.Add(x.left)}, 100*time.Millisecond)
+			need := (&exchange{route: route, onTime: epoch.Add(x.left)}).need(epoch)
+			wait, late := need.wait(100 * time.Millisecond)
 			require.Equal(t, x.want, wait)
 			require.Equal(t, x.late, late)
 		})
@@ -180,7 +181,7 @@
 	near, far := candidate("near", "north", cicadaseam.MeshLoad{}), candidate("far", "south", cicadaseam.MeshLoad{})
 	require.Equal(t, "near", pick(t, p, near, far))
 	require.Equal(t, "far", pick(t, p, near, far))
-	p.Ended(epoch, "near", &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan})
+	p.Ended(epoch, "near", 0, &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan})
 	require.Equal(t, "near", pick(t, p, near, far))
 	require.Equal(t, "near", pick(t, p, near, far))
 }
@@ -193,3 +194,59 @@
 	require.Equal(t, "other", pick(t, p, leaving, candidate("other", "south", cicadaseam.MeshLoad{Pace: 330})))
 	require.Equal(t, "leaving", pick(t, newPlacer(), leaving, candidate("other", "south", cicadaseam.MeshLoad{Pace: 330, Running: 10, Queued: 20})))
 }
+
+// A target that answers late though its backend server is quick, since its machine is
+// short of processor time or its link is full, is left for one that is reached sooner,
+// and tried again a while later.
+func TestTargetThatIsSlowToReachIsLeftOut(t *testing.T) {
+	near, far := candidate("near", "north", cicadaseam.MeshLoad{Pace: 330}), candidate("far", "south", cicadaseam.MeshLoad{Pace: 330})
+	answer := func(ran, queued time.Duration) *cicadaseam.MeshAnswer {
+		return &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, Ran: ran, Queued: queued, Load: near.Load}
+	}
+	tests := []struct {
+		name   string
+		took   time.Duration
+		answer *cicadaseam.MeshAnswer
+		want   string
+	}{
+		{"quick", 110 * time.Millisecond, answer(100*time.Millisecond, 0), "near"},
+		{"long at the backend server", 600 * time.Millisecond, answer(590*time.Millisecond, 0), "near"},
+		{"long in the queue", 600 * time.Millisecond, answer(100*time.Millisecond, 490*time.Millisecond), "near"},
+		{"long on the way", 900 * time.Millisecond, answer(100*time.Millisecond, 0), "far"},
+		{"no answer in time", 1500 * time.Millisecond, &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonDeadline, Offered: true}, "far"},
+		{"cancelled", 1500 * time.Millisecond, &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonCanceled, Offered: true}, "near"},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			p := newPlacer()
+			require.Equal(t, "near", pick(t, p, near, far))
+			p.Ended(epoch, "near", x.took, x.answer)
+			require.Equal(t, x.want, pick(t, p, near, far))
+			choice, ok := p.Pick(epoch.Add(5*time.Second), need, []Candidate{near, far}, map[string]bool{})
+			require.True(t, ok)
+			require.Equal(t, "near", choice.Candidate.Addr, "it is tried again")
+		})
+	}
+}
+
+// After two targets had no room, only those are asked that are expected to have some:
+// the others would cost both nodes work and the request its time.
+func TestFullTargetsAreNotAskedInVain(t *testing.T) {
+	full := candidate("full", "north", cicadaseam.MeshLoad{Pace: 330, Running: 10, Queued: 40})
+	fuller := candidate("fuller", "north", cicadaseam.MeshLoad{Pace: 330, Running: 10, Queued: 80})
+	free := candidate("free", "south", cicadaseam.MeshLoad{Pace: 330, Running: 4})
+	asked := func(refusals int, nested bool, after time.Duration, c ...Candidate) string {
+		n := need
+		n.Rest, n.Nested, n.Refusals = time.Minute, nested, refusals
+		choice, ok := newPlacer().Pick(epoch.Add(after), n, c, map[string]bool{})
+		if !ok {
+			return ""
+		}
+		return choice.Candidate.Addr
+	}
+	require.Equal(t, "full", asked(1, false, 0, full, fuller))
+	require.Empty(t, asked(2, false, 0, full, fuller))
+	require.Equal(t, "free", asked(2, false, 0, full, fuller, free))
+	require.NotEmpty(t, asked(2, false, 2*time.Second, full, fuller), "old news say nothing")
+	require.NotEmpty(t, asked(2, true, 0, full, fuller), "a nested call may wait")
+}
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -31,6 +31,8 @@
 	far     int // targets in other zones that were asked
 	offered int // backend servers that it reached
 	unknown bool
+	// refusals counts the targets that had no room.
+	refusals int
 	// failure is the answer of the last attempt that ran and failed.
 	failure   *cicadaseam.MeshAnswer
 	room      time.Duration // until some target expects to have room
@@ -72,6 +74,20 @@
 	return x
 }
 
+// need returns what the request needs of its next target.
+func (x *exchange) need(now time.Time) Need {
+	return Need{
+		Route:      x.route.Name,
+		Objective:  x.route.Objective,
+		Left:       x.onTime.Sub(now),
+		Rest:       x.deadline.Sub(now) - answerMargin,
+		Idempotent: x.route.Idempotent,
+		NearOnly:   x.far >= maxFar,
+		Nested:     x.nested,
+		Refusals:   x.refusals,
+	}
+}
+
 // isNested reports whether an id extends that of a request which the backend server
 // beside this node runs. It decides nothing but the order of requests.
 func (d *Dispatcher) isNested(id string) bool {
--- a/internal/mesh/dispatch/settle.go
+++ b/internal/mesh/dispatch/settle.go
@@ -24,8 +24,9 @@
 		}
 		x.failure = a
 	case cicadaseam.OutcomeNotRun:
-		if a.Wait > x.room {
-			x.room = a.Wait
+		x.room = max(x.room, a.Wait)
+		if a.Reason == cicadaseam.ReasonQueueFull {
+			x.refusals++
 		}
 	default:
 		x.unknown = true
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -24,6 +24,7 @@
 	}
 	if item != nil {
 		if refused := t.await(ctx, s, item); refused != nil {
+			refused.Queued = time.Since(began)
 			return refused
 		}
 	}
