What nothing uses is gone

Found by following every function from the programs and tests: two error types of the root package that were never returned, five options that nobody set (their defaults are constants now), the seed of the fake backend server. The baselines of the balancer are compared in its tests only and stand there.

--- a/call.go
+++ b/call.go
@@ -1,7 +1,6 @@
 package cicadaseam
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -117,15 +116,3 @@
 	ReasonRejected     Reason = "backend-rejected"
 	ReasonBudget       Reason = "retry-budget"
 )
-
-// CallError reports a call without an answer of a backend server.
-type CallError struct {
-	Outcome Outcome
-	Reason  Reason
-	Service string
-}
-
-// Error implements error.
-func (e *CallError) Error() string {
-	return fmt.Sprintf("call to %s: %s (%s)", e.Service, e.Outcome, e.Reason)
-}
--- a/change.go
+++ b/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 )
 
 // Edit sets or deletes one key of the tree. Path names the object, for
@@ -77,21 +76,6 @@
 	return f.Path + " " + f.Key + ": " + f.Problem
 }
 
-// InvalidError reports every fault of a change.
-type InvalidError struct {
-	ID     string
-	Faults []Fault
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	texts := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		texts[i] = f.String()
-	}
-	return fmt.Sprintf("change %s is invalid: %s", e.ID, strings.Join(texts, "; "))
-}
-
 // Decision is the verdict on one record of the configuration stream.
 type Decision struct {
 	ID      string  `msgpack:"i" json:"id"`
--- a/internal/call/balance/balance.go
+++ b/internal/call/balance/balance.go
@@ -81,9 +81,6 @@
 // Option changes a new Balancer.
 type Option func(*Balancer)
 
-// WithSlowStart sets how long a new candidate gets less work.
-func WithSlowStart(d time.Duration) Option { return func(b *Balancer) { b.slowStart = d } }
-
 // WithEjectShare sets the largest share of a service that may be ejected.
 func WithEjectShare(share float64) Option { return func(b *Balancer) { b.share = share } }
 
--- a/internal/config/feed/feed.go
+++ b/internal/config/feed/feed.go
@@ -81,7 +81,6 @@
 	fanout    int
 	readyWait time.Duration
 	pollWait  time.Duration
-	snapEvery time.Duration
 	counts    Counters
 
 	mu       sync.Mutex
@@ -111,9 +110,6 @@
 // WithFanout sets the fan-out of the push tree; 0 turns pushing off.
 func WithFanout(n int) Option { return func(f *Feed) { f.fanout = n } }
 
-// WithSnapshotPeriod sets the age at which a snapshot is renewed.
-func WithSnapshotPeriod(d time.Duration) Option { return func(f *Feed) { f.snapEvery = d } }
-
 // New returns the feed of a node.
 func New(log cicadaseam.Log, s *store.Store, fleet Fleet, pool *mux.Pool, timers *timer.Service, rng *rand.Rand, opts ...Option) *Feed {
 	f := &Feed{
@@ -126,7 +122,6 @@
 		fanout:    spread.DefaultFanout,
 		readyWait: DefaultReadyWait,
 		pollWait:  DefaultPollWait,
-		snapEvery: DefaultSnapshotPeriod,
 		spread:    spread.New(rng),
 		ready:     make(chan struct{}),
 		handedOn:  map[string]cicadaseam.Offset{},
--- a/internal/config/feed/snapshots.go
+++ b/internal/config/feed/snapshots.go
@@ -36,7 +36,7 @@
 			return
 		case now := <-sub.C:
 			position, _ := f.store.Position()
-			due := now.Sub(writtenAt) > f.snapEvery || position >= written+snapshotRecords
+			due := now.Sub(writtenAt) > DefaultSnapshotPeriod || position >= written+snapshotRecords
 			if position == 0 || !due || !f.onSnapshotDuty() {
 				continue
 			}
--- a/internal/config/publish/publish.go
+++ b/internal/config/publish/publish.go
@@ -40,11 +40,10 @@
 
 // Publisher publishes changes at one node.
 type Publisher struct {
-	log     cicadaseam.Log
-	store   *store.Store
-	timeout time.Duration
-	logger  *zap.Logger
-	ingest  Ingest
+	log    cicadaseam.Log
+	store  *store.Store
+	logger *zap.Logger
+	ingest Ingest
 }
 
 // Ingest takes records that were read while waiting for a verdict.
@@ -53,9 +52,6 @@
 // Option changes a new Publisher.
 type Option func(*Publisher)
 
-// WithTimeout bounds a publish.
-func WithTimeout(d time.Duration) Option { return func(p *Publisher) { p.timeout = d } }
-
 // WithIngest sets who takes the records that the publisher reads, so that they
 // are passed on to peers at once. By default the store takes them.
 func WithIngest(f Ingest) Option { return func(p *Publisher) { p.ingest = f } }
@@ -65,7 +61,7 @@
 
 // New returns a publisher.
 func New(log cicadaseam.Log, s *store.Store, opts ...Option) *Publisher {
-	p := &Publisher{log: log, store: s, timeout: DefaultTimeout, logger: zap.NewNop()}
+	p := &Publisher{log: log, store: s, logger: zap.NewNop()}
 	p.ingest = func(_ context.Context, records []cicadaseam.Record) error {
 		_, err := s.Ingest(records)
 		return err
@@ -90,7 +86,7 @@
 	if err != nil {
 		return cicadaseam.Decision{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	ctx, cancel := context.WithTimeout(ctx, DefaultTimeout)
 	defer cancel()
 	return p.appendUntilDecided(ctx, c.ID, data), nil
 }
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -84,7 +84,6 @@
 type Spread struct {
 	rng      *rand.Rand
 	readers  int
-	maxAge   time.Duration
 	takeover time.Duration
 
 	startedAt time.Time
@@ -112,13 +111,9 @@
 // WithReaders sets how many nodes of a zone tail the log.
 func WithReaders(n int) Option { return func(s *Spread) { s.readers = n } }
 
-// WithMaxAge sets how old knowledge of the log may grow before a node tails
-// the log itself.
-func WithMaxAge(d time.Duration) Option { return func(s *Spread) { s.maxAge = d } }
-
 // New returns the state machine of one node.
 func New(rng *rand.Rand, opts ...Option) *Spread {
-	s := &Spread{rng: rng, readers: DefaultReaders, maxAge: DefaultMaxAge, takeover: DefaultTakeover}
+	s := &Spread{rng: rng, readers: DefaultReaders, takeover: DefaultTakeover}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -139,7 +134,7 @@
 func (s *Spread) ageLimit() time.Duration {
 	const leastSpread = 2
 	spread := max(float64(s.zoneSize)/float64(s.readers), leastSpread)
-	return s.maxAge + time.Duration(s.patience*spread*float64(s.maxAge))
+	return DefaultMaxAge + time.Duration(s.patience*spread*float64(DefaultMaxAge))
 }
 
 // Tick returns what to do now.
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -113,11 +113,6 @@
 // WithClient replaces the HTTP client for announcements, for tests.
 func WithClient(c *http.Client) Option { return func(s *Server) { s.client = c } }
 
-// WithSeed sets the seed of the random faults.
-func WithSeed(seed uint64) Option {
-	return func(s *Server) { s.rng = rand.New(rand.NewPCG(seed, seed)) }
-}
-
 const (
 	renewPeriod     = time.Second
 	announceTimeout = 500 * time.Millisecond
--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -81,7 +81,6 @@
 	rng     *rand.Rand
 	period  time.Duration
 	tomb    time.Duration
-	keep    time.Duration
 	members map[string]*entry
 	order   []string // probe order
 	next    int
@@ -123,9 +122,6 @@
 // WithPeriod sets the time between two probes.
 func WithPeriod(d time.Duration) Option { return func(x *Detector) { x.period = d } }
 
-// WithUnreachable sets how long an unreachable member is kept.
-func WithUnreachable(d time.Duration) Option { return func(x *Detector) { x.keep = d } }
-
 // New returns a detector that knows itself alone.
 func New(self cicadaseam.Member, rng *rand.Rand, opts ...Option) *Detector {
 	self.State = cicadaseam.MemberAlive
@@ -137,7 +133,6 @@
 		rng:      rng,
 		period:   DefaultPeriod,
 		tomb:     DefaultTombstone,
-		keep:     DefaultUnreachable,
 		members:  map[string]*entry{},
 		suspects: map[string]bool{},
 		doubted:  map[string]bool{},
--- a/internal/member/detect/tick.go
+++ b/internal/member/detect/tick.go
@@ -275,7 +275,7 @@
 		switch {
 		case e.m.State >= cicadaseam.MemberDead && age > d.tomb:
 			d.forget(id)
-		case e.m.State == cicadaseam.MemberUnreachable && age > d.keep:
+		case e.m.State == cicadaseam.MemberUnreachable && age > DefaultUnreachable:
 			d.declareDead(now, e)
 		}
 	}
