--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -29,7 +29,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +37,6 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
-	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
 const (
@@ -65,26 +63,6 @@
 	maxPeers    = 4096
 )
 
-// Peer is another node as this one sees it. It is immutable.
-type Peer struct {
-	Beat  Beat
-	Heard time.Time
-}
-
-// entry is what is kept about one address.
-type entry struct {
-	peer    *Peer  // the last beat; nil before the first one
-	sender  uint64 // of the process that was heard last
-	place   int    // of the peer in the list of those that are not silent, or -1
-	added   time.Time
-	skipped int
-	left    map[string]bool // told by any process at the address
-	// owed is the number of whole beats that go to the address before others do.
-	owed int
-}
-
-func newEntry(now time.Time) *entry { return &entry{added: now, place: -1, owed: greetings} }
-
 // Fleet is the view of one node. It is safe for concurrent use.
 type Fleet struct {
 	self   string
@@ -177,10 +155,7 @@
 	now := f.now()
 	fresh := false
 	for _, a := range addrs {
-		if a != f.self && a != "" && f.entries[a] == nil && len(f.entries) < maxPeers {
-			f.entries[a] = newEntry(now)
-			fresh = true
-		}
+		fresh = f.entries[a] == nil && f.entryOf(now, a) != nil || fresh
 	}
 	f.mu.Unlock()
 	if fresh {
@@ -215,13 +190,6 @@
 	}
 }
 
-func (e *entry) heard() time.Time {
-	if e.peer != nil {
-		return e.peer.Heard
-	}
-	return e.added
-}
-
 func (f *Fleet) silence() time.Duration { return missedBeats * f.periodLocked() }
 
 func (f *Fleet) receive(done chan<- struct{}) {
@@ -244,76 +212,41 @@
 
 // Take takes a beat of another node.
 func (f *Fleet) Take(now time.Time, b Beat) {
-	if b.Addr == f.self {
-		return
-	}
-	f.mu.Lock()
-	e := f.entries[b.Addr]
-	if e == nil {
-		if len(f.entries) >= maxPeers {
-			f.mu.Unlock()
-			return
-		}
-		e = newEntry(now)
-		f.entries[b.Addr] = e
-	}
-	if !f.fresh(now, e, b) {
-		f.mu.Unlock()
-		return
-	}
-	met := e.peer == nil || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()
-	if met {
-		e.owed = greetings
-	}
-	changed := met || shape(e.peer.Beat) != shape(b)
-	e.remember(b.Left)
-	if e.peer == nil || e.peer.Beat.Epoch != b.Epoch {
-		delete(f.senders, e.sender)
-		e.sender = transit.Sender(b.Addr, b.Epoch)
-		f.senders[e.sender] = e
-	}
-	e.peer = &Peer{Beat: b, Heard: now}
-	if e.place < 0 || now.Sub(f.published) >= publishEach {
-		f.publish(now)
-	} else {
-		f.replace(e)
-	}
-	f.mu.Unlock()
-	if changed {
-		f.logger.Info("peer changed", zap.String("peer", b.Node), zap.Bool("met", met), zap.String("service", b.Service),
+	n := f.take(now, b)
+	if n.changed {
+		f.logger.Info("peer changed", zap.String("peer", b.Node), zap.Bool("met", n.met), zap.String("service", b.Service),
 			zap.Bool("serving", b.Serving), zap.Bool("leaving", b.Leaving), zap.Uint64("revision", b.Revision))
 	}
-	if met {
+	if n.met {
 		f.greetSoon()
 	}
-	f.onBeat(b)
+	if n.taken {
+		f.onBeat(b)
+	}
 }
 
-// maxLeft bounds the instances that are remembered for an address.
-const maxLeft = 64
-
-func (e *entry) remember(left []string) {
-	for _, id := range left {
-		if e.left == nil || len(e.left) >= maxLeft {
-			e.left = map[string]bool{}
-		}
-		e.left[id] = true
-	}
+// news is what a beat brought.
+type news struct {
+	taken   bool // it was later than the last one
+	met     bool // its process was not known or silent
+	changed bool // it told more than another load
 }
 
-// Recall returns the instances at an address that were heard to leave.
-func (f *Fleet) Recall(addr string) []string {
+func (f *Fleet) take(now time.Time, b Beat) news {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.entries[addr]
-	if e == nil {
-		return nil
+	e := f.entryOf(now, b.Addr)
+	if e == nil || !f.fresh(now, e, b) {
+		return news{}
 	}
-	out := make([]string, 0, len(e.left))
-	for id := range e.left {
-		out = append(out, id)
+	n := news{taken: true, met: e.peer == nil || e.peer.Beat.Epoch != b.Epoch || now.Sub(e.peer.Heard) > f.silence()}
+	n.changed = n.met || shape(e.peer.Beat) != shape(b)
+	if n.met {
+		e.owed = greetings
 	}
-	return out
+	e.remember(b.Left)
+	f.set(now, e, b)
+	return n
 }
 
 // fresh reports whether a beat is later than the last one of its address. A
@@ -329,42 +262,3 @@
 	}
 	return b.Epoch > old.Epoch || now.Sub(e.peer.Heard) > f.period/2
 }
-
-// expire forgets addresses that were silent for long and leaves silent nodes out.
-func (f *Fleet) expire(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for a, e := range f.entries {
-		if now.Sub(e.heard()) > forgetAfter {
-			delete(f.entries, a)
-			delete(f.senders, e.sender)
-		}
-	}
-	f.publish(now)
-}
-
-// publish swaps in the nodes that are not silent. The lock is held.
-func (f *Fleet) publish(now time.Time) {
-	f.published = now
-	silence := f.silence()
-	old := f.Peers()
-	out := make([]*Peer, 0, len(old)+1)
-	for _, e := range f.entries {
-		e.place = -1
-		if e.peer != nil && now.Sub(e.peer.Heard) <= silence {
-			e.place = len(out)
-			out = append(out, e.peer)
-		}
-	}
-	if len(out) < len(old) {
-		f.logger.Info("peers lost", zap.Int("were", len(old)), zap.Int("are", len(out)), zap.Duration("silence", silence))
-	}
-	f.peers.Store(&out)
-}
-
-// replace swaps in the newest beat of one node of the list. The lock is held.
-func (f *Fleet) replace(e *entry) {
-	out := slices.Clone(f.Peers())
-	out[e.place] = e.peer
-	f.peers.Store(&out)
-}
