Metrics and lines for the time between nodes

Histograms of queued, backend and added time by service, repeats that the budget allowed or denied, calls that lay for 100 ms or more; 'call came late' at the target and 'way' in 'attempt failed'.

--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -91,9 +91,16 @@
 	return nil, errors.Newf("unknown method %d", m)
 }
 
+// lateCall is the time on the way from which on a call is logged and counted as late.
+const lateCall = 100 * time.Millisecond
+
 // age takes the time that a call was on its way off the times that it has left.
 func (n *Node) age(call *cicadaseam.MeshCall) {
 	late := n.gauge.Late(transit.Now(), call.Sender, call.Stamp)
+	if late >= lateCall {
+		n.meter.CameLate()
+		n.logger.Info("call came late", zap.String("request", call.ID), zap.Duration("late", late), zap.Duration("budget", call.Budget), zap.Duration("wait", call.Wait))
+	}
 	call.Budget -= late
 	call.Wait = max(call.Wait-late, 0)
 	call.Due -= late
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -11,6 +11,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
 
 // sampleSize is the number of latencies kept for each histogram.
@@ -19,23 +20,75 @@
 // Meter counts what a node does, for its metrics page. It is safe for concurrent
 // use.
 type Meter struct {
-	mu       sync.Mutex
 	registry gometrics.Registry
+
+	mu       sync.Mutex
+	replies  map[replyKey]gometrics.Counter
+	services map[string]*times
 }
 
+// replyKey tells replies apart.
+type replyKey struct {
+	service  string
+	priority int
+	outcome  string
+	reason   cicadaseam.Reason
+}
+
+// times are the histograms of the replies of one service.
+type times struct{ latency, queued, backend, added gometrics.Histogram }
+
 // NewMeter returns a meter at zero.
-func NewMeter() *Meter { return &Meter{registry: gometrics.NewRegistry()} }
+func NewMeter() *Meter {
+	m := &Meter{registry: gometrics.NewRegistry(), replies: map[replyKey]gometrics.Counter{}, services: map[string]*times{}}
+	m.counter("calls-late") // there from the start
+	return m
+}
 
 // Replied implements dispatch.Observer.
-func (m *Meter) Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration) {
-	if reason == cicadaseam.ReasonNone {
-		reason = "none"
+func (m *Meter) Replied(r dispatch.Replied) {
+	if r.Reason == cicadaseam.ReasonNone {
+		r.Reason = "none"
 	}
-	labels := fmt.Sprintf("%s.%d.%s.%s", service, priority, outcome, reason)
-	m.counter("requests." + labels).Inc(1)
-	m.histogram("latency-us." + service).Update(took.Microseconds())
+	count, t := m.reply(replyKey{r.Service, r.Priority, r.Outcome, r.Reason})
+	count.Inc(1)
+	t.latency.Update(r.Took.Microseconds())
+	t.queued.Update(r.Queued.Microseconds())
+	t.backend.Update(r.Ran.Microseconds())
+	t.added.Update(max(r.Took-r.Queued-r.Ran, 0).Microseconds())
 }
 
+func (m *Meter) reply(k replyKey) (gometrics.Counter, *times) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := m.replies[k]
+	if count == nil {
+		count = m.counter(fmt.Sprintf("requests.%s.%d.%s.%s", k.service, k.priority, k.outcome, k.reason))
+		m.replies[k] = count
+	}
+	t := m.services[k.service]
+	if t == nil {
+		t = &times{
+			latency: m.histogram("latency-us." + k.service), queued: m.histogram("queued-us." + k.service),
+			backend: m.histogram("backend-us." + k.service), added: m.histogram("added-us." + k.service),
+		}
+		m.services[k.service] = t
+	}
+	return count, t
+}
+
+// Repeated implements dispatch.Observer.
+func (m *Meter) Repeated(service string, allowed bool) {
+	verdict := "denied"
+	if allowed {
+		verdict = "made"
+	}
+	m.counter("repeats." + service + "." + verdict).Inc(1)
+}
+
+// CameLate counts a call that lay on its way for long.
+func (m *Meter) CameLate() { m.counter("calls-late").Inc(1) }
+
 // StoreCall counts a call to the platform's store.
 func (m *Meter) StoreCall(op, result string) { m.counter("store." + op + "." + result).Inc(1) }
 
@@ -44,14 +97,9 @@
 }
 
 func (m *Meter) histogram(name string) gometrics.Histogram {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if h, ok := m.registry.Get(name).(gometrics.Histogram); ok {
-		return h
-	}
-	h := gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
-	_ = m.registry.Register(name, h) // the name was not there
-	return h
+	return m.registry.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
+	}).(gometrics.Histogram)
 }
 
 // handler writes the metrics as text, one a line.
--- a/internal/daemon/sidecar/page_test.go
+++ b/internal/daemon/sidecar/page_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
 
 func page(t *testing.T) string {
@@ -35,16 +36,20 @@
 // The page names each metric, and each metric that it names is there.
 func TestPageAndMetricsAgree(t *testing.T) {
 	n := newTestNode(t)
-	n.meter.Replied("desk", 1, "ran", "", time.Millisecond)
+	n.meter.Replied(dispatch.Replied{Service: "desk", Priority: 1, Outcome: "ran", Took: time.Millisecond})
+	n.meter.Repeated("desk", true)
+	n.meter.Repeated("desk", false)
 	n.meter.StoreCall("read", "ok")
 	w := httptest.NewRecorder()
 	n.meter.handler(n).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	generic := map[string]string{
-		"requests.desk.1.ran.none": "requests.SERVICE.PRIORITY.OUTCOME.REASON", "latency-us.desk": "latency-us.SERVICE", "store.read.ok": "store.OPERATION.RESULT",
+		"requests.desk.1.ran.none": "requests.SERVICE.PRIORITY.OUTCOME.REASON", "latency-us.desk": "latency-us.SERVICE",
+		"queued-us.desk": "queued-us.SERVICE", "backend-us.desk": "backend-us.SERVICE", "added-us.desk": "added-us.SERVICE",
+		"repeats.desk.made": "repeats.SERVICE.VERDICT", "repeats.desk.denied": "repeats.SERVICE.VERDICT", "store.read.ok": "store.OPERATION.RESULT",
 	}
 	_, table, found := strings.Cut(page(t), "| name | meaning |")
 	require.True(t, found)
-	named := map[string]bool{}
+	named, served := map[string]bool{}, map[string]bool{}
 	for _, row := range regexp.MustCompile(`(?m)^\| ([a-zA-Z][a-zA-Z., -]*) \|`).FindAllStringSubmatch(table, -1) {
 		for _, name := range strings.Split(row[1], ", ") {
 			named[name] = true
@@ -56,9 +61,9 @@
 			name = g
 		}
 		require.True(t, named[name], "the page does not name %q", name)
-		delete(named, name)
+		served[name] = true
 	}
-	require.Empty(t, named, "the page names what is not there")
+	require.Equal(t, named, served, "the page names what is not there")
 }
 
 func TestPageNamesEachSetting(t *testing.T) {
@@ -88,3 +93,10 @@
 	_, err := Load(file)
 	require.ErrorContains(t, err, "[listen] calls")
 }
+
+func BenchmarkReplied(b *testing.B) {
+	m := NewMeter()
+	for b.Loop() {
+		m.Replied(dispatch.Replied{Service: "desk", Priority: 1, Outcome: "ran", Took: time.Millisecond})
+	}
+}
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -123,9 +123,22 @@
 	guard    Guard
 }
 
-// Observer hears of each reply, for metrics.
+// Observer hears of replies and repeats, for metrics.
 type Observer interface {
-	Replied(service string, priority int, outcome string, reason cicadaseam.Reason, took time.Duration)
+	Replied(r Replied)
+	// Repeated hears whether the budget allowed one more repeat.
+	Repeated(service string, allowed bool)
+}
+
+// Replied is what is told of one reply.
+type Replied struct {
+	Service  string
+	Priority int
+	Outcome  string
+	Reason   cicadaseam.Reason
+	// Took is the time from the request to its reply; Queued and Ran are the parts of
+	// it that the last target was waited for and the backend server worked.
+	Took, Queued, Ran time.Duration
 }
 
 // Guard tells which requests crash backend servers.
@@ -139,7 +152,9 @@
 
 type noObserver struct{}
 
-func (noObserver) Replied(string, int, string, cicadaseam.Reason, time.Duration) {}
+func (noObserver) Replied(Replied) {}
+
+func (noObserver) Repeated(string, bool) {}
 
 // Option changes a new Dispatcher.
 type Option func(*Dispatcher)
@@ -209,7 +224,10 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	reply, outcome, reason := d.perform(ctx, x)
-	d.observer.Replied(x.call.Service, rt.Priority, outcome, reason, time.Since(x.arrived))
+	d.observer.Replied(Replied{
+		Service: x.call.Service, Priority: rt.Priority, Outcome: outcome, Reason: reason,
+		Took: time.Since(x.arrived), Queued: x.queued, Ran: x.ran,
+	})
 	return reply
 }
 
@@ -231,7 +249,7 @@
 			x.far++
 		}
 		repeat := x.offered > 0
-		if repeat && !d.budget.Take(now, x.call.Service, len(d.fleet.Peers())+1) {
+		if repeat && !d.mayRepeat(now, x.call.Service) {
 			x.lastCause = cicadaseam.ReasonBudget
 			break
 		}
@@ -251,6 +269,13 @@
 	return d.giveUp(x)
 }
 
+// mayRepeat takes a repeat from the budget, if it allows one.
+func (d *Dispatcher) mayRepeat(now time.Time, service string) bool {
+	allowed := d.budget.Take(now, service, len(d.fleet.Peers())+1)
+	d.observer.Repeated(service, allowed)
+	return allowed
+}
+
 func (d *Dispatcher) candidates(now time.Time, service string) []Candidate {
 	var self *Candidate
 	if instance, ok := d.local.Instance(now); ok && instance.Service == service {
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -124,8 +124,10 @@
 	Candidate Candidate
 	// Work is how long the target is expected to run the request.
 	Work time.Duration
-	// Wait is how long the request is expected to wait there.
+	// Wait is how long the request is expected to wait there, and Way how long it and
+	// its answer are expected to be on their way.
 	Wait time.Duration
+	Way  time.Duration
 }
 
 // Pick returns the cheapest candidate that was not tried, and counts a request as
@@ -151,7 +153,7 @@
 		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
-			choice = Choice{Candidate: *c, Work: work, Wait: wait}
+			choice = Choice{Candidate: *c, Work: work, Wait: wait, Way: t.wayNow(now)}
 		}
 	}
 	if best < 0 {
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -31,6 +31,8 @@
 	far     int // targets in other zones that were asked
 	offered int // backend servers that it reached
 	unknown bool
+	// queued and ran are the times that the last target told.
+	queued, ran time.Duration
 	// refusals counts the targets that had no room.
 	refusals int
 	// failure is the answer of the last attempt that ran and failed.
--- a/internal/mesh/dispatch/settle.go
+++ b/internal/mesh/dispatch/settle.go
@@ -17,6 +17,7 @@
 		x.offered++
 	}
 	x.lastCause = a.Reason
+	x.queued, x.ran = a.Queued, a.Ran
 	switch a.Outcome {
 	case cicadaseam.OutcomeRan:
 		if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
@@ -38,7 +39,7 @@
 	d.logger.Info("attempt failed", zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("target", choice.Candidate.Node),
 		zap.Stringer("outcome", a.Outcome), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Duration("queued", a.Queued), zap.Duration("ran", a.Ran), zap.Duration("room", a.Wait), zap.Bool("again", more),
-		zap.Duration("age", choice.Candidate.age(time.Now())), zap.Uint64("revision", x.revision))
+		zap.Duration("age", choice.Candidate.age(time.Now())), zap.Duration("way", choice.Way), zap.Uint64("revision", x.revision))
 	return more
 }
 
