Nodes on slow links do not read the configuration for their zone

A node now judges the rate at which the whole document came when it started (under 2 MB a second is slow), tells it with its beat, and the duty goes to the others first. Ruled out: processor time (0.028 cores at the busiest node), the cores of the settings (every machine is told one).

TestOneNodeOfAZoneDoesADuty, TestSlowSourceIsToldByLargeDocuments.

--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -191,6 +191,7 @@
 		Revision: n.keeper.Number(),
 		Leaving:  n.leaving.Load(),
 		Blind:    n.keeper.Blind(),
+		Slow:     n.keeper.Slow(),
 		Service:  instance.Service,
 		Instance: instance.ID,
 		Serving:  serving && n.isReady() && !n.closing.Load(),
@@ -213,7 +214,7 @@
 
 // isReader reports whether this node follows the configuration source.
 func (n *Node) isReader() bool {
-	return fleet.First(readerDuty, n.settings.Name, n.settings.Zone, n.fleet.Peers())
+	return fleet.Duty{Key: readerDuty, Node: n.settings.Name, Zone: n.settings.Zone, Slow: n.keeper.Slow()}.First(n.fleet.Peers())
 }
 
 // isReady reports whether this node takes work.
--- a/internal/mesh/fleet/beat.go
+++ b/internal/mesh/fleet/beat.go
@@ -28,7 +28,9 @@
 	// Leaving is set by a node that is about to end.
 	Leaving bool
 	// Blind is set while the configuration source does not answer the node.
-	Blind    bool
+	Blind bool
+	// Slow is set while whole configurations come slowly to the node.
+	Slow     bool
 	Service  string
 	Instance string
 	// Serving is set while the backend server takes requests.
@@ -114,10 +116,10 @@
 
 // shape is what matters of a beat beside its load.
 type shapeOf struct {
-	service, instance       string
-	serving, leaving, blind bool
+	service, instance             string
+	serving, leaving, blind, slow bool
 }
 
 func shape(b Beat) shapeOf {
-	return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving, b.Blind}
+	return shapeOf{b.Service, b.Instance, b.Serving, b.Leaving, b.Blind, b.Slow}
 }
--- a/internal/mesh/fleet/duty.go
+++ b/internal/mesh/fleet/duty.go
@@ -2,18 +2,33 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// First reports whether a node is the one of its zone that does a duty: the first
-// in rendezvous order of a key among the nodes that live and can do it. Nodes that
-// differ in their view do the duty twice, or for a moment not at all; nothing may
-// rest on it but cost.
-func First(key, self, zone string, peers []*Peer) bool {
-	own := score(key, self)
+// Duty is a task that one node of each zone does.
+type Duty struct {
+	Key string
+	// Node, Zone and Slow are of the node that asks.
+	Node string
+	Zone string
+	Slow bool
+}
+
+// First reports whether the node that asks does a duty: it is the first in rendezvous
+// order of the key among the nodes of its zone that live and can do it, those that are
+// not slow before the others. Nodes that differ in their view do the duty twice, or for
+// a moment not at all; nothing may rest on it but cost.
+func (d Duty) First(peers []*Peer) bool {
+	own := score(d.Key, d.Node)
 	for _, p := range peers {
 		b := &p.Beat
-		if b.Zone != zone || b.Blind || b.Leaving {
+		if b.Zone != d.Zone || b.Blind || b.Leaving {
+			continue
+		}
+		if b.Slow != d.Slow {
+			if d.Slow {
+				return false
+			}
 			continue
 		}
-		if score(key, b.Node) > own {
+		if score(d.Key, b.Node) > own {
 			return false
 		}
 	}
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -134,21 +135,22 @@
 	})
 }
 
-// Exactly one node of a zone does a duty when all agree on who lives, and a node
-// that cannot do it is passed over.
+// Exactly one node of a zone does a duty when all agree on who lives; a node that
+// cannot do it is passed over, and a slow one while there are others.
 func TestOneNodeOfAZoneDoesADuty(t *testing.T) {
 	names := []string{"a", "b", "c", "d"}
-	first := func(blind string) []string {
+	first := func(blind string, slow ...string) []string {
 		var out []string
 		for _, self := range names {
 			var peers []*Peer
 			for _, n := range names {
 				if n != self {
-					peers = append(peers, &Peer{Beat: Beat{Node: n, Zone: "north", Blind: n == blind}})
+					peers = append(peers, &Peer{Beat: Beat{Node: n, Zone: "north", Blind: n == blind, Slow: slices.Contains(slow, n)}})
 				}
 			}
 			peers = append(peers, &Peer{Beat: Beat{Node: "far", Zone: "south"}})
-			if self != blind && First("reader", self, "north", peers) {
+			d := Duty{Key: "reader", Node: self, Zone: "north", Slow: slices.Contains(slow, self)}
+			if self != blind && d.First(peers) {
 				out = append(out, self)
 			}
 		}
@@ -156,9 +158,15 @@
 	}
 	one := first("")
 	require.Len(t, one, 1)
-	other := first(one[0])
-	require.Len(t, other, 1)
-	require.NotEqual(t, one, other)
+	for _, other := range [][]string{first(one[0]), first("", one[0])} {
+		require.Len(t, other, 1)
+		require.NotEqual(t, one, other)
+	}
+	require.Equal(t, one, first("", names...), "all are slow")
+	for _, n := range names {
+		rest := slices.DeleteFunc(slices.Clone(names), func(x string) bool { return x == n })
+		require.Equal(t, []string{n}, first("", rest...), "the only quick one")
+	}
 }
 
 // A short beat stands for the last whole one of the same process, and only for that.
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -72,6 +72,7 @@
 	changed func()
 	reader  func() bool
 	blind   atomic.Bool
+	slow    atomic.Bool
 	applied atomic.Pointer[time.Time]
 
 	table atomic.Pointer[route.Table]
@@ -192,6 +193,27 @@
 // Blind reports whether the source does not answer this node.
 func (k *Keeper) Blind() bool { return k.blind.Load() }
 
+// Slow reports whether whole documents of the source come slowly to this node, so that
+// it should not follow the source for others.
+func (k *Keeper) Slow() bool { return k.slow.Load() }
+
+const (
+	// tellingBytes is the least size of a document whose time tells the rate of the
+	// link, and slowRate, in bytes a second, the rate under which a reader would fill
+	// its link with documents while versions come in quick succession.
+	tellingBytes = 64 << 10
+	slowRate     = 2 << 20
+)
+
+// isSlow judges the time in which a document of a size came. It reports false for told
+// where the document is too small to tell.
+func isSlow(bytes int, took time.Duration) (slow, told bool) {
+	if bytes < tellingBytes {
+		return false, false
+	}
+	return float64(bytes) < slowRate*took.Seconds(), true
+}
+
 // Run follows the source until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	next := cicadaseam.Offset(0)
@@ -248,14 +270,23 @@
 func (k *Keeper) newest(ctx context.Context) (cicadaseam.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := time.Now()
 	d, err := k.source.Newest(ctx)
 	if err != nil {
 		return 0, err
 	}
+	k.judge(len(d.Data), time.Since(began))
 	k.apply(d)
 	return d.Next, nil
 }
 
+func (k *Keeper) judge(bytes int, took time.Duration) {
+	slow, told := isSlow(bytes, took)
+	if told && k.slow.Swap(slow) != slow {
+		k.logger.Info("rate of the configuration source", zap.Bool("slow", slow), zap.Int("bytes", bytes), zap.Duration("took", took))
+	}
+}
+
 // poll waits for what comes next.
 func (k *Keeper) poll(ctx context.Context, from cicadaseam.Offset) (cicadaseam.Offset, error) {
 	bounded, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -284,3 +284,20 @@
 		require.Equal(t, uint64(2), k.Number())
 	})
 }
+
+func TestSlowSourceIsToldByLargeDocuments(t *testing.T) {
+	for _, x := range []struct {
+		bytes      int
+		took       time.Duration
+		slow, told bool
+	}{
+		{350 << 10, 600 * time.Millisecond, true, true}, // 5 Mbit/s
+		{350 << 10, 40 * time.Millisecond, false, true}, // 100 Mbit/s
+		{1 << 10, 2 * time.Second, false, false},
+		{0, 0, false, false},
+	} {
+		slow, told := isSlow(x.bytes, x.took)
+		require.Equal(t, x.slow, slow, "%d bytes in %s", x.bytes, x.took)
+		require.Equal(t, x.told, told, "%d bytes in %s", x.bytes, x.took)
+	}
+}
