--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -270,12 +270,10 @@
 func (k *Keeper) newest(ctx context.Context) (cicadaseam.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	began := time.Now()
 	d, err := k.source.Newest(ctx)
 	if err != nil {
 		return 0, err
 	}
-	k.judge(len(d.Data), time.Since(began))
 	k.apply(d)
 	return d.Next, nil
 }
@@ -302,6 +300,7 @@
 }
 
 func (k *Keeper) apply(d cicadaseam.Document) bool {
+	k.judge(d.Bytes, d.Took)
 	if d.Data == nil {
 		return false
 	}
--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -301,3 +301,19 @@
 		require.Equal(t, x.told, told, "%d bytes in %s", x.bytes, x.took)
 	}
 }
+
+// Each document tells how quick the source is now.
+func TestSlowFollowsTheLastTellingDocument(t *testing.T) {
+	k := New(&source{}, nil)
+	for _, x := range []struct {
+		d    cicadaseam.Document
+		want bool
+	}{
+		{cicadaseam.Document{Bytes: 350 << 10, Took: 600 * time.Millisecond}, true},
+		{cicadaseam.Document{Bytes: 100, Took: time.Millisecond}, true},
+		{cicadaseam.Document{Bytes: 350 << 10, Took: 40 * time.Millisecond}, false},
+	} {
+		k.apply(x.d)
+		require.Equal(t, x.want, k.Slow())
+	}
+}
--- a/mesh.go
+++ b/mesh.go
@@ -53,6 +53,10 @@
 type Document struct {
 	Data []byte
 	Next Offset
+	// Bytes is the size of the answer in which the document came, and Took the time
+	// from its first byte to its last.
+	Bytes int
+	Took  time.Duration
 }
 
 // RevisionSource is where whole revisions come from. The source keeps the newest
