Revert: a node that starts reads the configuration once

Tried: other nodes asked only after the store failed or was silent for 1.2 s. Conclusion: back to both at once.

--- a/internal/mesh/revision/catchup.go
+++ b/internal/mesh/revision/catchup.go
@@ -87,7 +87,6 @@
 // step fetches once. It returns false, and ends the fetching, when there is no more
 // to do.
 func (k *Keeper) step(ctx context.Context) bool {
-	k.awaitSource(ctx)
 	if !k.near() && (k.Number() > 0 || !k.Blind()) {
 		k.awaitNear(ctx)
 	}
@@ -118,21 +117,9 @@
 	return k.wanted.near
 }
 
-// awaitSource leaves a node that starts its first read of the source: the same document
-// from another node at the same time would only delay both.
-func (k *Keeper) awaitSource(ctx context.Context) {
-	for waited := time.Duration(0); waited < sourceFirst && k.Number() == 0 && !k.asked.Load(); waited += look {
-		if !wait.Sleep(ctx, look) {
-			return
-		}
-	}
-}
-
-// look is how often a node that waits looks whether it still has to.
-const look = 50 * time.Millisecond
-
 // awaitNear gives a node of the own zone a moment to have what is wanted.
 func (k *Keeper) awaitNear(ctx context.Context) {
+	const look = 50 * time.Millisecond
 	for waited := time.Duration(0); waited < behindFor && !k.near(); waited += look {
 		k.mu.Lock()
 		done := k.table.Load() != nil && k.Number() >= k.wanted.number
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -55,9 +55,6 @@
 	// behindFor is how long a node waits for news from its own zone before it
 	// fetches from another one.
 	behindFor = 400 * time.Millisecond
-	// sourceFirst is how long a node without a table leaves the first read of the source
-	// alone on its link before it asks other nodes for the same.
-	sourceFirst = 1200 * time.Millisecond
 	// dutyPeriod is how often a node looks whether it has become a reader, and
 	// checkPeriod how often one that is none asks the source all the same.
 	dutyPeriod  = 250 * time.Millisecond
@@ -75,7 +72,6 @@
 	changed func()
 	reader  func() bool
 	blind   atomic.Bool
-	asked   atomic.Bool // the source has answered, or failed, once
 	slow    atomic.Bool
 	applied atomic.Pointer[time.Time]
 
@@ -235,7 +231,6 @@
 		} else {
 			next, err = k.newest(ctx)
 		}
-		k.asked.Store(true)
 		known = err == nil
 		var trimmed *cicadaseam.TrimmedError
 		switch {
