--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -204,7 +204,9 @@
 
 // heard takes a beat of another node.
 func (n *Node) heard(b fleet.Beat) {
-	n.gauge.Late(transit.Now(), transit.Sender(b.Addr, b.Epoch), b.Stamp)
+	if b.Stamp > 0 {
+		n.gauge.Late(transit.Now(), transit.Sender(b.Addr, b.Epoch), b.Stamp)
+	}
 	n.guard.Take(time.Now(), b.Marks)
 	n.keeper.Heard(context.Background(), b.Addr, b.Revision, b.Zone == n.settings.Zone)
 }
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -6,7 +6,9 @@
 // A request keeps the table with which it started. Its service comes from the
 // split of its route, its target from a Placer. Targets that cannot run it in
 // time refuse at once, which costs no backend server anything, so that a few are
-// asked before the caller is refused. After a request may have reached a backend
+// asked before the caller is refused; after two refusals only those whose last news
+// leave hope. What a target is expected to take is its work, its queue and the time on
+// the way, which is learned from what answers took beyond what the target told. After a request may have reached a backend
 // server, it is sent once more only if it is idempotent or the backend server
 // proved that it did not run, within the route's bound and the Budget.
 //
