--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -243,6 +243,7 @@
 		}
 		need := x.need(now)
 		choice, ok := d.placer.Pick(now, need, d.candidates(now, x.call.Service), x.asked)
+		x.passed = choice.Passed
 		if !ok {
 			break
 		}
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -128,6 +128,9 @@
 	// its answer are expected to be on their way.
 	Wait time.Duration
 	Way  time.Duration
+	// Passed is the number of candidates that were not asked, since their last news
+	// left no hope.
+	Passed int
 }
 
 // Pick returns the cheapest candidate that was not tried, and counts a request as
@@ -135,7 +138,7 @@
 func (p *Placer) Pick(now time.Time, need Need, candidates []Candidate, tried map[string]bool) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := -1
+	best, passed := -1, 0
 	var choice Choice
 	lowest := 0.0
 	for i := range candidates {
@@ -149,6 +152,7 @@
 		}
 		cost, work, wait := p.cost(now, t, c, need)
 		if need.hopeless(work, wait, now.Sub(t.loadAt)) {
+			passed++
 			continue
 		}
 		if best < 0 || cost < lowest {
@@ -156,6 +160,7 @@
 			choice = Choice{Candidate: *c, Work: work, Wait: wait, Way: t.wayNow(now)}
 		}
 	}
+	choice.Passed = passed
 	if best < 0 {
 		return choice, false
 	}
--- a/internal/mesh/dispatch/place_test.go
+++ b/internal/mesh/dispatch/place_test.go
@@ -248,5 +248,10 @@
 	require.Empty(t, asked(2, false, 0, full, fuller))
 	require.Equal(t, "free", asked(2, false, 0, full, fuller, free))
 	require.NotEmpty(t, asked(2, false, 2*time.Second, full, fuller), "old news say nothing")
+	n := need
+	n.Refusals = 2
+	choice, ok := newPlacer().Pick(epoch, n, []Candidate{full, fuller}, map[string]bool{})
+	require.False(t, ok)
+	require.Equal(t, 2, choice.Passed, "the log tells how many were passed over")
 	require.NotEmpty(t, asked(2, true, 0, full, fuller), "a nested call may wait")
 }
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -35,6 +35,9 @@
 	queued, ran time.Duration
 	// refusals counts the targets that had no room.
 	refusals int
+	// passed counts the targets that were not asked the last time, since they were
+	// expected to have no room either.
+	passed int
 	// failure is the answer of the last attempt that ran and failed.
 	failure   *cicadaseam.MeshAnswer
 	room      time.Duration // until some target expects to have room
--- a/internal/mesh/dispatch/settle.go
+++ b/internal/mesh/dispatch/settle.go
@@ -83,7 +83,7 @@
 func (d *Dispatcher) refuse(x *exchange, reason cicadaseam.Reason, after time.Duration) *Reply {
 	if x != nil {
 		d.logger.Info("request refused", zap.String("request", x.call.ID), zap.String("service", x.call.Service), zap.String("route", x.route.Name), zap.Bool("nested", x.nested),
-			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(x.asked)),
+			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(x.asked)), zap.Int("passed-over", x.passed),
 			zap.Bool("returning", x.returning), zap.Duration("took", time.Since(x.arrived)), zap.Uint64("revision", x.revision))
 	}
 	value := strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
