Addresses are checked as fields, once for node and sidecar

Both settings had the same loop over their addresses behind the fields, so that a fault of an address was told only once no other was left. settings.Address is the field; an empty value is taken where the default is empty, as before. TestFaultsOfAddressesAreToldWithTheOthers: red before, green after. With a bad operator address the missing token is told after that is mended.

--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -16,6 +16,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -64,6 +65,19 @@
 	}}
 }
 
+// Address is a host and a port. It may be empty where its default is.
+func Address(to *string, section, key, fallback, help string) Field {
+	f := String(to, section, key, fallback, help)
+	f.set = func(v string) error {
+		if _, _, err := net.SplitHostPort(v); err != nil && (v != "" || fallback != "") {
+			return err
+		}
+		*to = v
+		return nil
+	}
+	return f
+}
+
 // List is a field with a comma-separated list.
 func List(to *[]string, section, key, fallback, help string) Field {
 	return Field{Section: section, Key: key, Default: fallback, Help: help, Unit: "list", set: func(v string) error {
--- a/internal/daemon/node/settings.go
+++ b/internal/daemon/node/settings.go
@@ -50,10 +50,10 @@
 		settings.Must(settings.String(&s.Place.Region, "node", "region", "", "region of this node")),
 		settings.Must(settings.String(&s.Place.Deployment, "node", "deployment", "", "deployment of this node")),
 		settings.Must(settings.String(&s.Place.Zone, "node", "zone", "", "availability zone of this node")),
-		settings.String(&s.CallAddr, "listen", "calls", "127.0.0.1:8080", "address for callers, HTTP"),
-		settings.String(&s.LinkAddr, "listen", "links", "127.0.0.1:7000", "address for other nodes, TCP and UDP"),
-		settings.String(&s.BackendAddr, "listen", "backend", "127.0.0.1:8081", "address for the backend server of this node, HTTP"),
-		settings.String(&s.OperatorAddr, "listen", "operator", "127.0.0.1:8082", "address for operators, HTTP"),
+		settings.Address(&s.CallAddr, "listen", "calls", "127.0.0.1:8080", "address for callers, HTTP"),
+		settings.Address(&s.LinkAddr, "listen", "links", "127.0.0.1:7000", "address for other nodes, TCP and UDP"),
+		settings.Address(&s.BackendAddr, "listen", "backend", "127.0.0.1:8081", "address for the backend server of this node, HTTP"),
+		settings.Address(&s.OperatorAddr, "listen", "operator", "127.0.0.1:8082", "address for operators, HTTP"),
 		settings.String(&s.Advertise, "listen", "advertise", "", "link address that other nodes use, if it differs"),
 		settings.Must(settings.String(&s.LogURL, "log", "url", "", "URL of the platform's log")),
 		settings.String(&s.Token, "operator", "token", "", "bearer token for operators; without one the address must be loopback"),
@@ -89,23 +89,12 @@
 
 // check finds faults that one field alone does not show.
 func (s *Settings) check(file string) error {
-	var problems []settings.Problem
-	addrs := []struct{ section, key, addr string }{
-		{"listen", "calls", s.CallAddr}, {"listen", "links", s.LinkAddr},
-		{"listen", "backend", s.BackendAddr}, {"listen", "operator", s.OperatorAddr},
+	if s.Token != "" || loopback(s.OperatorAddr) {
+		return nil
 	}
-	for _, a := range addrs {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			problems = append(problems, settings.Problem{Section: a.section, Key: a.key, Text: err.Error()})
-		}
-	}
-	if s.Token == "" && !loopback(s.OperatorAddr) {
-		problems = append(problems, settings.Problem{Section: "operator", Key: "token", Text: "is required, because [listen] operator is not a loopback address"})
-	}
-	if len(problems) > 0 {
-		return &settings.Error{File: file, Problems: problems}
-	}
-	return nil
+	return &settings.Error{File: file, Problems: []settings.Problem{
+		{Section: "operator", Key: "token", Text: "is required, because [listen] operator is not a loopback address"},
+	}}
 }
 
 func loopback(addr string) bool {
--- a/internal/daemon/sidecar/page_test.go
+++ b/internal/daemon/sidecar/page_test.go
@@ -94,6 +94,20 @@
 	require.ErrorContains(t, err, "[listen] calls")
 }
 
+// Faults of addresses stand in the same message as all others.
+func TestFaultsOfAddressesAreToldWithTheOthers(t *testing.T) {
+	file := t.TempDir() + "/node.ini"
+	require.NoError(t, os.WriteFile(file, []byte("[node]\nname = n\nzone = z\nservice = s\n[listen]\ncalls = nowhere\nready = a:2\nbackend = a:3\nlinks = 4\n"+
+		"[store]\naddress = a:5\n[retry]\nratio = much\n"), 0o600))
+	_, err := Load(file)
+	var faults *settings.Error
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults.Problems, 3)
+	for _, want := range []string{"[listen] calls", "[listen] links", "[retry] ratio"} {
+		require.ErrorContains(t, err, want)
+	}
+}
+
 func BenchmarkReplied(b *testing.B) {
 	m := NewMeter()
 	for b.Loop() {
--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"net"
 	"time"
 
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
@@ -45,14 +44,14 @@
 		settings.Must(settings.String(&s.Name, "node", "name", "", "name of this node, for people and the directory")),
 		settings.Must(settings.String(&s.Zone, "node", "zone", "", "availability zone of this node")),
 		settings.Must(settings.String(&s.Service, "node", "service", "", "service of the backend server beside this node")),
-		settings.Must(settings.String(&s.Calls, "listen", "calls", "", "address for callers, HTTP")),
-		settings.Must(settings.String(&s.Ready, "listen", "ready", "", "address for the question whether this node is ready, HTTP")),
-		settings.Must(settings.String(&s.Backend, "listen", "backend", "", "address for the announcements of the backend server, HTTP")),
-		settings.Must(settings.String(&s.Links, "listen", "links", "", "address for other nodes, TCP and UDP")),
-		settings.String(&s.Advertise, "listen", "advertise", "", "address that other nodes use for links, if it differs"),
-		settings.String(&s.Metrics, "listen", "metrics", "", "address for metrics, HTTP; none when empty"),
-		settings.Must(settings.String(&s.Store, "store", "address", "", "address of the platform's store")),
-		settings.String(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are dropped"),
+		settings.Must(settings.Address(&s.Calls, "listen", "calls", "", "address for callers, HTTP")),
+		settings.Must(settings.Address(&s.Ready, "listen", "ready", "", "address for the question whether this node is ready, HTTP")),
+		settings.Must(settings.Address(&s.Backend, "listen", "backend", "", "address for the announcements of the backend server, HTTP")),
+		settings.Must(settings.Address(&s.Links, "listen", "links", "", "address for other nodes, TCP and UDP")),
+		settings.Address(&s.Advertise, "listen", "advertise", "", "address that other nodes use for links, if it differs"),
+		settings.Address(&s.Metrics, "listen", "metrics", "", "address for metrics, HTTP; none when empty"),
+		settings.Must(settings.Address(&s.Store, "store", "address", "", "address of the platform's store")),
+		settings.Address(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are dropped"),
 		settings.Duration(&s.Lease, "backend", "lease", target.DefaultLease, 100*time.Millisecond, 10*time.Minute, "time after which a backend server that does not renew is taken as gone"),
 		settings.Float(&s.RetryRatio, "retry", "ratio", dispatch.DefaultAllowance.Ratio, 0, 10, "repeats a request", "repeats that the fleet may make for each request"),
 		settings.Float(&s.RetrySlack, "retry", "slack", dispatch.DefaultAllowance.Slack, 0, 1e6, "repeats", "repeats that the fleet may make in a window beyond that"),
@@ -70,7 +69,7 @@
 	if err := settings.Load(file, s.Fields()); err != nil {
 		return nil, err
 	}
-	return s, s.check(file)
+	return s, nil
 }
 
 // peerAddr returns the address at which other nodes reach this one.
@@ -80,24 +79,3 @@
 	}
 	return s.Links
 }
-
-// check finds faults that one field alone does not show.
-func (s *Settings) check(file string) error {
-	var problems []settings.Problem
-	addrs := []struct{ section, key, addr string }{
-		{"listen", "calls", s.Calls}, {"listen", "ready", s.Ready}, {"listen", "backend", s.Backend},
-		{"listen", "links", s.Links}, {"listen", "advertise", s.Advertise}, {"listen", "metrics", s.Metrics}, {"store", "address", s.Store}, {"backend", "address", s.BackendAddr},
-	}
-	for _, a := range addrs {
-		if a.addr == "" {
-			continue
-		}
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			problems = append(problems, settings.Problem{Section: a.section, Key: a.key, Text: err.Error()})
-		}
-	}
-	if len(problems) > 0 {
-		return &settings.Error{File: file, Problems: problems}
-	}
-	return nil
-}
