What a target is expected to take is worked out once a candidate

Pick asked for the time on the way twice and cost worked out work and wait beside the cost; track.expect does both now, before the cost. The node's own service was compared twice.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -279,12 +279,13 @@
 	return allowed
 }
 
+// candidates returns the nodes whose backend server runs a service.
 func (d *Dispatcher) candidates(now time.Time, service string) []Candidate {
-	var self *Candidate
+	out := candidates(service, d.fleet.Peers())
 	if instance, ok := d.local.Instance(now); ok && instance.Service == service {
-		self = &Candidate{Addr: d.Addr, Node: localNode, Zone: d.Zone, Instance: instance.ID, Local: true, Load: d.local.Load(now), Heard: now}
+		out = append(out, Candidate{Addr: d.Addr, Node: localNode, Zone: d.Zone, Instance: instance.ID, Local: true, Load: d.local.Load(now), Heard: now})
 	}
-	return candidates(service, self, d.Service, d.fleet.Peers())
+	return out
 }
 
 // localNode stands in the log for the node itself.
--- a/internal/mesh/dispatch/place.go
+++ b/internal/mesh/dispatch/place.go
@@ -138,9 +138,9 @@
 func (p *Placer) Pick(now time.Time, need Need, candidates []Candidate, tried map[string]bool) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, passed := -1, 0
-	var choice Choice
-	lowest := 0.0
+	var best Choice
+	var to *track
+	passed, lowest := 0, 0.0
 	for i := range candidates {
 		c := &candidates[i]
 		if tried[c.Addr] || need.NearOnly && c.Zone != p.zone {
@@ -150,43 +150,28 @@
 		if now.Before(t.avoid) {
 			continue
 		}
-		cost, work, wait := p.cost(now, t, c, need)
-		if need.hopeless(work, wait, now.Sub(t.loadAt)) {
+		expected := t.expect(now, need.Objective)
+		if need.hopeless(expected.Work, expected.Wait, now.Sub(t.loadAt)) {
 			passed++
 			continue
 		}
-		if best < 0 || cost < lowest {
-			best, lowest = i, cost
-			choice = Choice{Candidate: *c, Work: work, Wait: wait, Way: t.wayNow(now)}
+		if cost := p.cost(now, t, c, &need, &expected); to == nil || cost < lowest {
+			best, to, lowest = expected, t, cost
+			best.Candidate = *c
 		}
 	}
-	choice.Passed = passed
-	if best < 0 {
-		return choice, false
+	best.Passed = passed
+	if to == nil {
+		return best, false
 	}
-	t := p.tracks[choice.Candidate.Addr]
-	if t.inFlight == 0 {
-		t.triedAt = now
-	}
-	t.inFlight++
-	t.sent++
-	t.used = now
-	return choice, true
+	to.sends(now)
+	return best, true
 }
 
 // cost estimates what it costs to send a request to a target now.
-func (p *Placer) cost(now time.Time, t *track, c *Candidate, need Need) (cost float64, work, wait time.Duration) {
-	pace := t.load.Pace
-	if pace == 0 {
-		pace = usualPace
-	}
-	slots := max(t.load.Slots, 1)
-	work = need.Objective * time.Duration(pace) / thousand
-	occupied := t.load.Running + t.load.Queued + t.sent
-	if occupied >= slots {
-		wait = work * time.Duration(occupied-slots+1) / time.Duration(slots)
-	}
-	cost = lateCost * lateness(work+wait+t.wayNow(now), need)
+func (p *Placer) cost(now time.Time, t *track, c *Candidate, need *Need, expected *Choice) float64 {
+	slots, occupied := t.occupied()
+	cost := lateCost * lateness(expected.Work+expected.Wait+expected.Way, need)
 	use := float64(occupied) / float64(slots)
 	cost += busyCost * min(use*use, 1)
 	cost += failCost * float64(t.load.Failing) / thousand
@@ -202,12 +187,12 @@
 	if c.Zone != p.zone {
 		cost += farCostPerKB * (overheadKB + p.sizes[need.Route]/kilobyte)
 	}
-	return cost + noise*p.rng.Float64(), work, wait
+	return cost + noise*p.rng.Float64()
 }
 
 // lateness estimates how likely an answer is late that is expected after a time. It
 // goes on rising beyond certainty, so that of many late targets the quickest wins.
-func lateness(expected time.Duration, need Need) float64 {
+func lateness(expected time.Duration, need *Need) float64 {
 	left := max(need.Left, need.Objective/4)
 	if left <= 0 {
 		return 0
@@ -233,12 +218,9 @@
 	p.sizes[route] = mean + sizeShare*(float64(bytes)-mean)
 }
 
-// candidates returns the nodes whose backend server runs a service.
-func candidates(service string, self *Candidate, selfService string, peers []*fleet.Peer) []Candidate {
+// candidates returns the other nodes whose backend server runs a service.
+func candidates(service string, peers []*fleet.Peer) []Candidate {
 	var out []Candidate
-	if self != nil && selfService == service {
-		out = append(out, *self)
-	}
 	for _, p := range peers {
 		b := &p.Beat
 		if !b.Serving || b.Service != service {
--- a/internal/mesh/dispatch/track.go
+++ b/internal/mesh/dispatch/track.go
@@ -64,6 +64,34 @@
 	t.sent = 0
 }
 
+// occupied returns the slots of a target and the requests that have or await one.
+func (t *track) occupied() (slots, occupied int) {
+	return max(t.load.Slots, 1), t.load.Running + t.load.Queued + t.sent
+}
+
+// expect returns how long a request with an objective is expected to take.
+func (t *track) expect(now time.Time, objective time.Duration) Choice {
+	pace := t.load.Pace
+	if pace == 0 {
+		pace = usualPace
+	}
+	x := Choice{Work: objective * time.Duration(pace) / thousand, Way: t.wayNow(now)}
+	if slots, occupied := t.occupied(); occupied >= slots {
+		x.Wait = x.Work * time.Duration(occupied-slots+1) / time.Duration(slots)
+	}
+	return x
+}
+
+// sends counts a request as sent.
+func (t *track) sends(now time.Time) {
+	if t.inFlight == 0 {
+		t.triedAt = now
+	}
+	t.inFlight++
+	t.sent++
+	t.used = now
+}
+
 // Ended takes what came of a request at a target after a time.
 func (p *Placer) Ended(now time.Time, addr string, took time.Duration, answer *cicadaseam.MeshAnswer) {
 	p.mu.Lock()
