--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -89,9 +89,6 @@
 	return r
 }
 
-// Addr returns the address of the backend server.
-func (r *Runner) Addr() string { return r.pool.Addr() }
-
 // Close drops idle connections and keeps none from now on.
 func (r *Runner) Close() { r.pool.Close() }
 
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -82,7 +82,6 @@
 	deltas   []Delta // the last ones, in order
 	fetching bool
 	wanted   wanted
-	ready    chan struct{}
 }
 
 // Option changes a new Keeper.
@@ -99,7 +98,7 @@
 
 // New returns a keeper without a table.
 func New(source cicadaseam.RevisionSource, fetch Fetch, opts ...Option) *Keeper {
-	k := &Keeper{source: source, fetch: fetch, logger: zap.NewNop(), changed: func() {}, reader: func() bool { return true }, ready: make(chan struct{})}
+	k := &Keeper{source: source, fetch: fetch, logger: zap.NewNop(), changed: func() {}, reader: func() bool { return true }}
 	for _, opt := range opts {
 		opt(k)
 	}
@@ -109,9 +108,6 @@
 // Table returns the table in force, or nil before there is one.
 func (k *Keeper) Table() *route.Table { return k.table.Load() }
 
-// Ready returns a channel that is closed once there is a table.
-func (k *Keeper) Ready() <-chan struct{} { return k.ready }
-
 // Number returns the number of the table in force, or 0.
 func (k *Keeper) Number() uint64 {
 	if t := k.Table(); t != nil {
@@ -172,7 +168,6 @@
 	k.table.Store(t)
 	k.current = r
 	if old == nil {
-		close(k.ready)
 		return true
 	}
 	k.deltas = append(k.deltas, diff(old, r))
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -101,9 +101,6 @@
 // Waiting returns how many requests wait.
 func (q *Queue) Waiting() int { return q.count }
 
-// Work returns the mean time that a request runs.
-func (q *Queue) Work() time.Duration { return q.work }
-
 // Estimate returns how long a request of a rank that is due last would wait.
 func (q *Queue) Estimate(rank int) time.Duration {
 	ahead := time.Duration(0)
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -19,6 +19,10 @@
 
 type noGuard struct{}
 
+func (noGuard) Crashed(time.Time, string, []uint64) {}
+
+func (noGuard) Succeeded(time.Time, uint64) {}
+
 // WithGuard sets who hears of crashes.
 func WithGuard(g Guard) Option { return func(t *Target) { t.guard = g } }
 
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -79,10 +79,6 @@
 	crashes int
 }
 
-func (noGuard) Crashed(time.Time, string, []uint64) {}
-
-func (noGuard) Succeeded(time.Time, uint64) {}
-
 // Option changes a new Target.
 type Option func(*Target)
 
