A push that meets a silent link is sent again on a new one

The push to such a child fails after the silence time and went to its children alone; the child itself waited for gossip and a fetch, whose first try met another silent link.

Now the child is tried once more, beside its children; the first try has closed the silent link. Ruled out: the log (its readers had the change), the load of the machine (virtual time, and the same share with one process and with seven).

--- a/internal/config/feed/push.go
+++ b/internal/config/feed/push.go
@@ -81,15 +81,17 @@
 	return method.Encode(&pushMessage{Root: root, Records: records, Age: f.Head().Age})
 }
 
-// pushTo hands records to one child, or to its children when it is lost.
+// pushTo hands records to one child. When it is not reached, they go to its children
+// in its place, and to it once more: a link that went silent while nobody used it is
+// closed by the first try, and the next one opens another.
 func (f *Feed) pushTo(ctx context.Context, child cicadaseam.Member, payload []byte, root string) {
 	if f.pushOnce(ctx, child.Addr, payload) == nil {
 		return
 	}
-	for _, orphan := range f.children(root, child.ID) {
-		if err := f.pushOnce(ctx, orphan.Addr, payload); err != nil {
-			continue // the digests on gossip repair the rest
-		}
+	for _, next := range append(f.children(root, child.ID), child) {
+		f.wg.Go(func() {
+			_ = f.pushOnce(ctx, next.Addr, payload) // the digests on gossip repair the rest
+		})
 	}
 }
 
--- a/internal/daemon/node/bounds_test.go
+++ b/internal/daemon/node/bounds_test.go
@@ -97,13 +97,7 @@
 			return 80 * time.Millisecond
 		})
 		f.log.SetFaults(logstore.Faults{Delay: 80 * time.Millisecond})
-		for _, h := range f.hosts {
-			for _, other := range f.hosts {
-				if other != h {
-					f.net.Silence(h.ip, other.ip) // connections opened without latency
-				}
-			}
-		}
+		f.silenceAll() // connections opened without latency
 		time.Sleep(30 * time.Second)
 		worst := time.Duration(0)
 		for i := range 10 {
@@ -119,6 +113,32 @@
 	})
 }
 
+// A change is in force everywhere within 3 s also where each link went silent since it
+// was last used.
+func TestChangeOverSilentLinks(t *testing.T) {
+	withFleet(t, 48, 54, func(f *fleet) {
+		for i := range 20 {
+			f.silenceAll()
+			time.Sleep(10 * time.Second)
+			began := time.Now()
+			d := f.publish(f.hosts[i*2], fmt.Sprintf("%ds", 4+i))
+			require.True(t, f.eventually(convergeTarget, func() bool { return f.atVersion(d.Version) }), "change %d", i)
+			t.Logf("change %d: %s", i, time.Since(began))
+		}
+	})
+}
+
+// silenceAll loses what is sent on the connections between nodes from now on.
+func (f *fleet) silenceAll() {
+	for _, h := range f.hosts {
+		for _, other := range f.hosts {
+			if other != h {
+				f.net.Silence(h.ip, other.ip)
+			}
+		}
+	}
+}
+
 func TestHerdAtTheLog(t *testing.T) {
 	withFleet(t, 48, 52, func(f *fleet) {
 		time.Sleep(15 * time.Second)
