dispatch: count the calls of a retried run as retries

Cause: a backend server that runs a retry makes the calls of that run again. These are retries at the called service, but no node counted them.

Change: a call says whether it is a retry, the target remembers it while the request runs, and the nested calls that enter at its node draw on the budget at each attempt.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -102,13 +102,16 @@
 	// Instance returns the current instance and whether it accepts new requests.
 	Instance(now time.Time) (cicadaseam.Instance, bool)
 	Load(now time.Time) cicadaseam.MeshLoad
-	// IsRunning reports whether the backend server is running the request with an id.
-	IsRunning(id string) bool
+	// Running reports whether the backend server is running the request with an id, and
+	// whether that run is a retry.
+	Running(id string) (running, isRetry bool)
 }
 
 // Fleet lists the other nodes.
 type Fleet interface {
 	Peers() []*fleet.Peer
+	// Size returns the number of nodes, this one and those that are silent included.
+	Size() int
 }
 
 // TableSource returns the current routing table, or nil before there is one.
@@ -254,21 +257,28 @@
 			break
 		}
 		req := ex.requirements(now)
+		isRetry := ex.nestedInRetry || ex.reachedBackends > 0
+		if isRetry && !d.budget.TryAcquire(now, ex.call.Service, d.fleet.Size(), ex.nested) {
+			d.observer.ObserveRetry(ex.call.Service, false)
+			ex.lastReason = cicadaseam.ReasonRetryBudget
+			break
+		}
 		selected, ok := d.selector.Select(now, req, d.candidates(now, ex.call.Service), ex.tried)
 		ex.skipped = selected.Skipped
 		if !ok {
+			if isRetry {
+				d.budget.Refund(now, ex.call.Service)
+			}
 			break
 		}
+		if isRetry {
+			d.observer.ObserveRetry(ex.call.Service, true)
+		}
 		ex.tried[selected.Candidate.Addr] = true
 		if selected.Candidate.Zone != d.Zone {
 			ex.otherZoneTargets++
 		}
-		isRetry := ex.reachedBackends > 0
-		if isRetry && !d.acquireRetry(now, ex.call.Service) {
-			ex.lastReason = cicadaseam.ReasonRetryBudget
-			break
-		}
-		answer := d.send(ctx, ex, &req, &selected)
+		answer := d.send(ctx, ex, &req, &selected, isRetry)
 		ended := time.Now()
 		d.selector.RecordResult(ended, selected.Candidate.Addr, ended.Sub(now), answer)
 		if answer.Outcome == cicadaseam.OutcomeRan {
@@ -284,13 +294,6 @@
 	return d.giveUp(ex)
 }
 
-// acquireRetry takes a retry from the budget, if it allows one.
-func (d *Dispatcher) acquireRetry(now time.Time, service string) bool {
-	allowed := d.budget.TryAcquire(now, service, len(d.fleet.Peers())+1)
-	d.observer.ObserveRetry(service, allowed)
-	return allowed
-}
-
 // candidates returns the nodes, this one included, whose backend server runs a
 // service.
 func (d *Dispatcher) candidates(now time.Time, service string) []Candidate {
@@ -305,8 +308,9 @@
 const localNode = "local"
 
 // send sends a request to one target.
-func (d *Dispatcher) send(ctx context.Context, ex *exchange, req *Requirements, selected *Selection) *cicadaseam.MeshAnswer {
+func (d *Dispatcher) send(ctx context.Context, ex *exchange, req *Requirements, selected *Selection, isRetry bool) *cicadaseam.MeshAnswer {
 	call := ex.call
+	call.Retry = isRetry
 	call.Timeout = req.Timeout
 	call.MaxWait, call.Late = req.maxWait(selected.RunTime)
 	call.LatencyBudget = req.LatencyBudget
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -29,6 +29,9 @@
 	// nested is set for a call that a backend server makes on behalf of a request that
 	// it is running.
 	nested bool
+	// nestedInRetry is set for a nested call whose outer run is a retry. Each attempt of
+	// the call then counts as a retry, the first one included.
+	nestedInRetry bool
 
 	tried            map[string]bool // addresses of the targets
 	otherZoneTargets int             // tried targets in other zones
@@ -52,6 +55,7 @@
 	now := time.Now()
 	timeout := parseCallerTimeout(r.Header.Get(d.Headers.Timeout), rt.Timeout)
 	elapsed := d.callerTimeouts.elapsed(rt.Name, timeout)
+	nested, nestedInRetry := d.outerRun(r.Header.Get(d.Headers.RequestID))
 	ex := &exchange{
 		route:           rt,
 		revision:        revision,
@@ -60,7 +64,8 @@
 		deadline:        r.Arrived.Add(min(timeout, rt.Timeout)),
 		latencyDeadline: r.Arrived.Add(rt.LatencyObjective - elapsed),
 		callerRetry:     elapsed > minCallerRetryElapsed,
-		nested:          d.isNested(r.Header.Get(d.Headers.RequestID)),
+		nested:          nested,
+		nestedInRetry:   nestedInRetry,
 		tried:           map[string]bool{},
 	}
 	ex.call = cicadaseam.MeshCall{
@@ -96,12 +101,16 @@
 	}
 }
 
-// isNested reports whether an id extends the id of a request that the backend server
-// beside this node is running. A caller can send any id, so the result affects only
-// the order in which requests run and how long this request may wait.
-func (d *Dispatcher) isNested(id string) bool {
+// outerRun reports whether an id extends the id of a request that the backend server
+// beside this node is running, and whether that run is a retry. A caller can send any id,
+// so the result affects only the order in which requests run, how long this request may
+// wait, and whether it draws on the retry budget.
+func (d *Dispatcher) outerRun(id string) (nested, isRetry bool) {
 	at := strings.LastIndexByte(id, '.')
-	return at > 0 && d.local.IsRunning(id[:at])
+	if at <= 0 {
+		return false, false
+	}
+	return d.local.Running(id[:at])
 }
 
 // forwardedHeaders returns the headers for the backend server. Header fields that the
--- a/internal/mesh/fleet/peers.go
+++ b/internal/mesh/fleet/peers.go
@@ -136,3 +136,11 @@
 	}
 	f.publishOne(e)
 }
+
+// Size returns the number of nodes that are known, this one and those that are silent
+// included.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.entries) + 1
+}
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -29,11 +29,19 @@
 // WithGuard sets the Guard that records crashes and successful requests.
 func WithGuard(g Guard) Option { return func(t *Target) { t.guard = g } }
 
-// IsRunning reports whether the request with this ID is running at the backend server.
-func (t *Target) IsRunning(id string) bool {
+// runningRequest counts the current runs of one request at the backend server.
+type runningRequest struct {
+	runs    int
+	retries int // of runs
+}
+
+// Running reports whether the request with this ID is running at the backend server, and
+// whether one of its runs is a retry.
+func (t *Target) Running(id string) (running, isRetry bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.running[id] > 0
+	r := t.running[id]
+	return r.runs > 0, r.retries > 0
 }
 
 // trackRunning adds delta to the counts of running requests with the ID and the
@@ -41,7 +49,13 @@
 func (t *Target) trackRunning(s *server, call *cicadaseam.MeshCall, delta int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running[call.ID] += delta; t.running[call.ID] <= 0 {
+	r := t.running[call.ID]
+	r.runs += delta
+	if call.Retry {
+		r.retries += delta
+	}
+	t.running[call.ID] = r
+	if r.runs <= 0 {
 		delete(t.running, call.ID)
 	}
 	if s.runningFingerprints[call.Fingerprint] += delta; s.runningFingerprints[call.Fingerprint] <= 0 {
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -57,7 +57,7 @@
 
 	mu       sync.Mutex
 	tracker  instanceTracker
-	running  map[string]int // number of running requests by request ID
+	running  map[string]runningRequest // by request ID
 	guard    Guard
 	server   *server
 	onChange func()
@@ -102,7 +102,7 @@
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, running: map[string]int{}, guard: noGuard{}, tracker: newTracker()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
 	for _, opt := range opts {
 		opt(t)
 	}
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -253,3 +253,24 @@
 	require.Equal(t, cicadaseam.OutcomeUnknown, answer.Outcome)
 	require.Equal(t, cicadaseam.ReasonDeadline, answer.Reason)
 }
+
+// A node knows for the calls of its backend server whether the run that makes them is a
+// retry.
+func TestRunningRequestsKnowWhetherTheyAreRetries(t *testing.T) {
+	target := New(headers)
+	target.Announce(epoch, ready("a", 1, 0))
+	first, retry := &cicadaseam.MeshCall{ID: "q1"}, &cicadaseam.MeshCall{ID: "q1", Retry: true}
+	target.trackRunning(target.server, first, 1)
+	running, isRetry := target.Running("q1")
+	require.True(t, running)
+	require.False(t, isRetry)
+	target.trackRunning(target.server, retry, 1)
+	target.trackRunning(target.server, first, -1)
+	running, isRetry = target.Running("q1")
+	require.True(t, running)
+	require.True(t, isRetry)
+	target.trackRunning(target.server, retry, -1)
+	running, _ = target.Running("q1")
+	require.False(t, running)
+	require.Empty(t, target.running)
+}
--- a/mesh.go
+++ b/mesh.go
@@ -182,6 +182,9 @@
 	// stays in its node.
 	SenderID uint64
 	SentAt   time.Duration
+	// Retry is set if an earlier attempt of the request may have reached a backend server.
+	// The calls that the backend server makes for such a run count as retries too.
+	Retry bool
 }
 
 // MeshAnswer is the result of a MeshCall. Body is complete.
