fleet: heartbeats cross the border of a zone once, through a relay

Cause: each node sent its heartbeat to every other one. At 194 nodes that is 193 datagrams a period, five sixths of them across zones, and the period was stretched to 2 s to bear it, so that a silent node was noticed after 6 s.

Change: a node sends its heartbeat to the nodes of its zone and to one node of each other zone, another one each time, which passes it on with its own. Changes of state go to two relays a zone and are passed on at once. Zones of up to 8 nodes are reached directly as before, so small fleets do not change. The period follows the bytes that a node receives: 0.69 s at 194 nodes, 2.5 s at 720 (3 s before). Full heartbeats are sent one in 32; who gets a compact one of an unknown process asks a node of its zone (FormatQuery).

--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -135,7 +135,8 @@
 // applyDirectory adds the addresses of the nodes in the directory to the fleet and marks
 // the departed instances. It skips records that cannot be decoded.
 func (n *Node) applyDirectory(entries []cicadaseam.DirectoryEntry) {
-	var addrs, departed []string
+	var departed []string
+	nodes := 0
 	for _, entry := range entries {
 		if id, ok := strings.CutPrefix(entry.Key, departedPrefix); ok {
 			departed = append(departed, id)
@@ -146,11 +147,11 @@
 			n.logger.Warn("invalid directory record skipped", zap.String("key", entry.Key), logging.Error(err))
 			continue
 		}
-		addrs = append(addrs, record.Addr)
+		n.fleet.AddAddr(record.Addr, record.Zone)
+		nodes++
 	}
 	n.target.MarkDeparted(time.Now(), departed)
-	n.fleet.AddAddrs(addrs)
-	n.logger.Info("directory read", zap.Int("nodes", len(addrs)), zap.Int("left", len(departed)))
+	n.logger.Info("directory read", zap.Int("nodes", nodes), zap.Int("left", len(departed)))
 }
 
 // Registrar receives the announcements and withdrawals of the backend server.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -3,29 +3,38 @@
 //
 // # Model
 //
-// Each node sends a Heartbeat to every other node, at a period that grows with the
-// size of the fleet, and immediately when its own state changes. A node that has been
-// silent for a few periods is removed from the peers, and so from the targets, until its
-// next heartbeat arrives. Addresses come from a directory and from the heartbeats of
-// unknown nodes. A silent address still gets heartbeats for a while, so that a process
-// that restarts there learns of the fleet without the directory.
+// Each node sends a Heartbeat periodically, and immediately when its own state changes. It
+// goes to every node of its own zone and to the nodes of small zones. Of each larger zone
+// one node, another one each time, receives it and passes it on to the nodes of that zone,
+// together with its own next heartbeat, or at once if the state changed. So a heartbeat
+// crosses the border of a zone once, and what a node sends grows with its zone and not
+// with the fleet. The period grows with the size of the fleet, so that the heartbeats of
+// all nodes stay within a share of a node's link.
+//
+// A node that has been silent for a few periods is removed from the peers, and so from
+// the targets, until its next heartbeat arrives. Addresses come from a directory and from
+// the heartbeats of unknown nodes. A silent address of the own zone still gets heartbeats
+// for a while, so that a process that restarts there learns of the fleet without the
+// directory.
 //
 // Most heartbeats are compact: they carry the load, the revision and an ID of the sending
 // process, whose last full heartbeat holds for everything else. A full heartbeat follows
-// each change, and one of every few is full in any case. A node that is discovered, or
+// each change, and one of many is full in any case. A node that gets a compact heartbeat
+// of an unknown process asks another node of its zone for a full one. A node that is discovered, or
 // sends again after a silence, gets a full heartbeat at once, and the next heartbeat to it
 // is full too. The other nodes get nothing extra: when a whole fleet starts at once,
 // each pair exchanges two additional heartbeats, instead of every discovery causing a
-// heartbeat to all nodes.
+// heartbeat to all nodes. Across a border that is crossed by relays it is one, the answer
+// of the node that discovered the other one.
 //
 // Load travels with heartbeats and with every answer. It is advisory: correctness does
 // not depend on it.
 //
 // # Usage
 //
-//	f := fleet.New(self, conn, timers, sample, fleet.WithOnHeartbeat(handle))
+//	f := fleet.New(self, zone, conn, timers, sample, fleet.WithOnHeartbeat(handle))
 //	go f.Run(ctx)
-//	f.AddAddrs(addrs)
+//	f.AddAddr(addr, zone)
 //	for _, p := range f.Peers() { ... }
 package fleet
 
@@ -44,9 +53,9 @@
 const (
 	// DefaultPeriod is the time between two heartbeats in a small fleet.
 	DefaultPeriod = 500 * time.Millisecond
-	// basePeriodNodes is the number of other nodes up to which the period is not
-	// stretched. Beyond it, the period grows in proportion to the number of nodes.
-	basePeriodNodes = 48
+	// heartbeatBytesPerSecond bounds the heartbeats that a node receives. The period is
+	// stretched where they would take more.
+	heartbeatBytesPerSecond = 10 << 10
 	// maxPeriodFactor bounds how many times longer than its base the period becomes.
 	maxPeriodFactor = 6
 	// silentPeriods is the number of periods without a heartbeat after which a node
@@ -58,14 +67,17 @@
 	// long: it gets one of this many.
 	silentSendEvery = 4
 	// fullEvery bounds the heartbeats to all nodes from one full one to the next while
-	// nothing changes.
-	fullEvery = 8
+	// nothing changes. Nodes that lack one ask for it.
+	fullEvery = 32
 	// initialFull is the number of full heartbeats that a discovered node gets. It is
 	// more than 1 because a datagram may be lost.
 	initialFull = 2
 	// publishInterval is how often arriving heartbeats make the node look for peers
 	// that have become silent.
 	publishInterval = 100 * time.Millisecond
+	// directZoneNodes is the number of nodes of another zone up to which each of them gets
+	// every heartbeat directly.
+	directZoneNodes = 8
 	// maxDatagram bounds a received heartbeat, in bytes.
 	maxDatagram = 4 << 10
 	// maxPeers bounds the addresses that are tracked.
@@ -75,6 +87,7 @@
 // Fleet is one node's view of the other nodes. It is safe for concurrent use.
 type Fleet struct {
 	self        string
+	zone        string
 	conn        cicadaseam.PacketConn
 	timers      *timer.Service
 	logger      *zap.Logger
@@ -86,6 +99,9 @@
 	mu        sync.Mutex
 	entries   map[string]*entry // by address
 	senders   map[uint64]*entry // by sender ID; only addresses that sent a heartbeat
+	zoneSizes map[string]int    // entries by zone
+	pending   [][]byte          // heartbeats of other zones to pass on within this one
+	unknown   map[uint64]bool   // IDs of the unknown senders of compact heartbeats
 	sequence  uint64
 	lastFull  peerState // in the last full heartbeat to all nodes
 	sinceFull int       // heartbeats to all nodes since the last full one
@@ -94,6 +110,7 @@
 	publishedAt time.Time
 	notify      chan string   // the zone to send a heartbeat to, or allZones
 	initialDue  chan struct{} // filled while discovered nodes wait for their first heartbeat
+	relayDue    chan struct{} // filled while pending holds a heartbeat that reports a change
 	counts      Counters
 }
 
@@ -119,11 +136,12 @@
 // than the last one of its address.
 func WithOnHeartbeat(fn func(Heartbeat)) Option { return func(f *Fleet) { f.onHeartbeat = fn } }
 
-// New returns the fleet as seen by the node at address self. The node's own heartbeats
-// are made by sample.
-func New(self string, conn cicadaseam.PacketConn, timers *timer.Service, sample func(now time.Time) Heartbeat, opts ...Option) *Fleet {
+// New returns the fleet as seen by the node at address self in a zone. The node's own
+// heartbeats are made by sample.
+func New(self, zone string, conn cicadaseam.PacketConn, timers *timer.Service, sample func(now time.Time) Heartbeat, opts ...Option) *Fleet {
 	f := &Fleet{
 		self:        self,
+		zone:        zone,
 		conn:        conn,
 		timers:      timers,
 		logger:      zap.NewNop(),
@@ -133,8 +151,11 @@
 		now:         time.Now,
 		entries:     map[string]*entry{},
 		senders:     map[uint64]*entry{},
+		zoneSizes:   map[string]int{},
+		unknown:     map[uint64]bool{},
 		notify:      make(chan string, 4),
 		initialDue:  make(chan struct{}, 1),
+		relayDue:    make(chan struct{}, 1),
 	}
 	f.peers.Store(&[]*Peer{})
 	for _, opt := range opts {
@@ -157,19 +178,23 @@
 	return f.periodLocked()
 }
 
+// periodLocked derives the period from the bytes that a node receives in one: a datagram
+// from each node of the largest zone, and the heartbeats of all nodes. The lock is
+// held.
 func (f *Fleet) periodLocked() time.Duration {
-	factor := min(max(float64(len(f.entries))/basePeriodNodes, 1), maxPeriodFactor)
-	return time.Duration(factor * float64(f.period))
+	largest := 0
+	for _, n := range f.zoneSizes {
+		largest = max(largest, n)
+	}
+	bytes := float64(largest*datagramOverhead + len(f.entries)*meanSize)
+	stretched := time.Duration(bytes / heartbeatBytesPerSecond * float64(time.Second))
+	return min(max(stretched, f.period), maxPeriodFactor*f.period)
 }
 
-// AddAddrs adds addresses of other nodes.
-func (f *Fleet) AddAddrs(addrs []string) {
+// AddAddr adds the address of another node. zone may be empty if it is not known.
+func (f *Fleet) AddAddr(addr, zone string) {
 	f.mu.Lock()
-	now := f.now()
-	added := false
-	for _, a := range addrs {
-		added = f.entries[a] == nil && f.getOrAddEntry(now, a) != nil || added
-	}
+	added := f.entries[addr] == nil && f.getOrAddEntry(f.now(), addr, zone) != nil
 	f.mu.Unlock()
 	if added {
 		f.triggerInitial()
@@ -193,10 +218,12 @@
 			f.expire(now)
 			if now.Sub(last) >= f.Period()-f.period/2 { // the tick nearest to the period
 				last = now
-				f.send(now, allZones)
+				f.send(now, allZones, false)
 			}
 		case zone := <-f.notify:
-			f.send(f.now(), zone)
+			f.send(f.now(), zone, true)
+		case <-f.relayDue:
+			f.passOn(f.now())
 		case <-f.initialDue:
 			f.sendInitial(f.now())
 		}
@@ -215,13 +242,20 @@
 		if err != nil {
 			return
 		}
-		hb, ok := f.decode(buf[:n])
+		f.handleDatagram(f.now(), buf[:n])
+	}
+}
+
+// handleDatagram handles the heartbeats in a datagram.
+func (f *Fleet) handleDatagram(now time.Time, data []byte) {
+	for _, message := range f.unwrap(data) {
+		hb, ok := f.decode(message)
 		if !ok {
 			f.counts.Dropped.Add(1)
 			continue
 		}
 		f.counts.Received.Add(1)
-		f.HandleHeartbeat(f.now(), hb)
+		f.HandleHeartbeat(now, hb)
 	}
 }
 
@@ -250,17 +284,20 @@
 func (f *Fleet) record(now time.Time, hb Heartbeat) effect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.getOrAddEntry(now, hb.Addr)
+	e := f.getOrAddEntry(now, hb.Addr, hb.Zone)
 	if e == nil || !f.isNewer(now, e, hb) {
 		return effect{}
 	}
 	eff := effect{recorded: true, discovered: e.peer == nil || e.peer.Heartbeat.Epoch != hb.Epoch || now.Sub(e.peer.LastHeard) > f.silenceTimeout()}
 	eff.changed = eff.discovered || stateOf(e.peer.Heartbeat) != stateOf(hb)
+	e.addDeparted(hb.Departed)
+	f.setLast(now, e, hb)
 	if eff.discovered {
 		e.fullDue = initialFull
+		if hb.Known && f.isRelayed(e) {
+			e.fullDue = 0 // the node sent this heartbeat because it discovered this one
+		}
 	}
-	e.addDeparted(hb.Departed)
-	f.setLast(now, e, hb)
 	return eff
 }
 
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 )
@@ -30,7 +29,7 @@
 func newFleet() (*Fleet, *sink) {
 	s := &sink{sent: map[string]int{}}
 	sample := func(time.Time) Heartbeat { return Heartbeat{Node: "self", Addr: "self"} }
-	f := New("self", s, timer.New(rand.New(rand.NewPCG(1, 1))), sample)
+	f := New("self", "north", s, timer.New(rand.New(rand.NewPCG(1, 1))), sample)
 	f.now = func() time.Time { return start }
 	return f, s
 }
@@ -69,29 +68,42 @@
 	f.expire(later)
 	require.Empty(t, f.Peers())
 	for range silentSendEvery {
-		f.send(start.Add(10*time.Second), allZones)
+		f.send(start.Add(10*time.Second), allZones, false)
 	}
 	require.Equal(t, 1, s.sent["a"])
 	f.expire(start.Add(forgetAfter + time.Second))
-	f.send(start.Add(forgetAfter+time.Second), allZones)
+	f.send(start.Add(forgetAfter+time.Second), allZones, false)
 	require.Equal(t, 1, s.sent["a"])
 }
 
 func TestUnknownSendersAreAdded(t *testing.T) {
 	f, s := newFleet()
-	f.AddAddrs([]string{"self", "", "b"})
+	for _, addr := range []string{"self", "", "b"} {
+		f.AddAddr(addr, "north")
+	}
 	f.HandleHeartbeat(start, heartbeat("a", 1, 1))
-	f.send(start, allZones)
+	f.send(start, allZones, false)
 	require.Equal(t, map[string]int{"a": 1, "b": 1}, s.sent)
 }
 
+// The period is stretched so that the heartbeats of all nodes take a bounded number of
+// bytes, and not at all in a small fleet.
 func TestPeriodGrowsWithTheFleet(t *testing.T) {
-	f, _ := newFleet()
-	require.Equal(t, DefaultPeriod, f.Period())
-	for i := range 4 * basePeriodNodes {
-		f.AddAddrs([]string{strconv.Itoa(i)})
+	const zones = 10
+	for _, tt := range []struct {
+		nodes  int
+		period time.Duration
+	}{{88, DefaultPeriod}, {194, 700 * time.Millisecond}, {720, 2500 * time.Millisecond}, {2000, maxPeriodFactor * DefaultPeriod}} {
+		f, _ := newFleet()
+		for i := range tt.nodes {
+			f.AddAddr(strconv.Itoa(i), "zone-"+strconv.Itoa(i%zones))
+		}
+		require.LessOrEqual(t, f.Period(), tt.period, "%d nodes", tt.nodes)
+		bytes := tt.nodes/zones*datagramOverhead + tt.nodes*meanSize
+		if f.Period() < maxPeriodFactor*DefaultPeriod {
+			require.LessOrEqual(t, float64(bytes)/f.Period().Seconds(), float64(heartbeatBytesPerSecond)+1, "%d nodes", tt.nodes)
+		}
 	}
-	require.Equal(t, 4*DefaultPeriod, f.Period())
 }
 
 func TestInvalidDatagramsAreDropped(t *testing.T) {
@@ -233,7 +245,7 @@
 		f.HandleHeartbeat(start, heartbeat(strconv.Itoa(i), 1, 1))
 	}
 	f.sendInitial(start)
-	f.send(start, allZones)
+	f.send(start, allZones, false)
 	<-f.initialDue
 	clear(recorder.got)
 	f.HandleHeartbeat(start, heartbeat("new", 1, 1))
@@ -243,8 +255,8 @@
 	require.Equal(t, map[string][]byte{"new": {FormatFull}}, recorder.got)
 	f.sendInitial(start)
 	f.sinceFull = 0 // the next heartbeat to all is a compact one
-	f.send(start, allZones)
-	f.send(start, allZones)
+	f.send(start, allZones, false)
+	f.send(start, allZones, false)
 	require.Equal(t, []byte{FormatFull, FormatFull, FormatCompact}, recorder.got["new"])
 	require.Equal(t, []byte{FormatCompact, FormatCompact}, recorder.got["0"])
 	<-f.initialDue
@@ -315,26 +327,3 @@
 		})
 	}
 }
-
-// The heartbeats of 720 nodes, sent and received, leave a third of the 30 KB a second that
-// control traffic may use to everything else.
-func TestBytesOfBeats(t *testing.T) {
-	const nodes, control = 720, 30 << 10 // bytes a second
-	b := Heartbeat{
-		Node: "sidecar-north-720", Addr: "10.14.0.255:7600", Zone: "north-1", Epoch: time.Now().UnixNano(), Sequence: 100_000, Revision: 100_000,
-		Service: "submission", Instance: "i-1efcfb8f35", Serving: true, SentAt: time.Hour,
-		Load: cicadaseam.MeshLoad{InFlight: 18, Queued: 200, Slots: 18, LatencyPermille: 330, FailurePermille: 10},
-	}
-	full, err := encode(b, true)
-	require.NoError(t, err)
-	compact, err := encode(b, false)
-	require.NoError(t, err)
-	f, _ := newFleet()
-	for i := range nodes - 1 {
-		f.AddAddrs([]string{strconv.Itoa(i)})
-	}
-	rate := float64(nodes-1) / f.Period().Seconds()
-	each := (float64(len(full)) + (fullEvery-1)*float64(len(compact))) / fullEvery
-	t.Logf("full %d B, compact %d B, %.0f B a second each way", len(full), len(compact), rate*each)
-	require.Less(t, 2*rate*each, float64(control*2/3))
-}
--- a/internal/mesh/fleet/heartbeat.go
+++ b/internal/mesh/fleet/heartbeat.go
@@ -8,11 +8,26 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
-// FormatFull and FormatCompact are the first byte of a datagram with a full and with a
-// compact heartbeat.
+// The first byte of a datagram. FormatFull and FormatCompact are followed by a heartbeat.
+// FormatRelay and FormatRelayNow are followed by a heartbeat in one of these formats that
+// the receiver passes on within its zone, with its own next heartbeat or at once.
+// FormatBatch is followed by a list of heartbeats in these formats, and FormatQuery by a
+// query.
 const (
-	FormatFull    = 0x33
-	FormatCompact = 0x34
+	FormatFull     = 0x33
+	FormatCompact  = 0x34
+	FormatRelay    = 0x35
+	FormatRelayNow = 0x36
+	FormatBatch    = 0x37
+	FormatQuery    = 0x38
+)
+
+const (
+	// meanSize is the usual mean size of the heartbeats of a node, most of which are compact,
+	// in bytes.
+	meanSize = 32
+	// datagramOverhead is the size of the IP and UDP headers of a datagram, in bytes.
+	datagramOverhead = 28
 )
 
 // Heartbeat is the state that a node sends to the other nodes.
@@ -46,6 +61,11 @@
 	// SentAt is the sender's monotonic clock, as of transit.Now, when the heartbeat was
 	// made. Compact heartbeats have none.
 	SentAt time.Duration
+	// Relays is set by a node that passes on heartbeats of other zones. Processes of
+	// earlier releases do not, and get every heartbeat directly.
+	Relays bool
+	// Known is set if the sender had a heartbeat of the receiver already.
+	Known bool
 }
 
 // compactHeartbeat is sent while the state of a node has not changed since its last full
@@ -85,8 +105,9 @@
 	return append([]byte{FormatCompact}, body...), err
 }
 
-// decode returns the heartbeat in a datagram. A compact one is completed from the last
-// full one of the same process; it is refused if that process is unknown.
+// decode returns the heartbeat in a message. A compact one is completed from the last
+// full one of the same process. If that process is unknown, the heartbeat is refused, and
+// another node is asked for a full one.
 func (f *Fleet) decode(data []byte) (Heartbeat, bool) {
 	var hb Heartbeat
 	if len(data) < 2 {
@@ -112,11 +133,12 @@
 	defer f.mu.Unlock()
 	e := f.senders[c.SenderID]
 	if e == nil {
+		f.recordUnknown(c.SenderID)
 		return Heartbeat{}, false
 	}
 	hb := e.peer.Heartbeat
 	hb.Sequence, hb.Revision, hb.Load = c.Sequence, c.Revision, c.Load
-	hb.Marks, hb.Departed, hb.SentAt = nil, nil, 0
+	hb.Marks, hb.Departed, hb.SentAt, hb.Known = nil, nil, 0, false
 	return hb, true
 }
 
--- a/internal/mesh/fleet/peers.go
+++ b/internal/mesh/fleet/peers.go
@@ -17,6 +17,7 @@
 
 // entry is what is known of one address.
 type entry struct {
+	zone     string // empty while it is not known
 	peer     *Peer  // as of the last heartbeat; nil before the first one
 	senderID uint64 // of the process whose heartbeat was received last
 	index    int    // of peer in the list of peers, or -1 when the peer is silent
@@ -30,7 +31,9 @@
 	fullDue int
 }
 
-func newEntry(now time.Time) *entry { return &entry{added: now, index: -1, fullDue: initialFull} }
+func newEntry(now time.Time, zone string) *entry {
+	return &entry{zone: zone, added: now, index: -1, fullDue: initialFull}
+}
 
 // lastSeen returns when the address last sent a heartbeat, or else when it was added.
 func (e *entry) lastSeen() time.Time {
@@ -62,6 +65,10 @@
 	if e == nil {
 		return nil
 	}
+	return e.departedIDs()
+}
+
+func (e *entry) departedIDs() []string {
 	out := make([]string, 0, len(e.departed))
 	for id := range e.departed {
 		out = append(out, id)
@@ -78,6 +85,7 @@
 		if now.Sub(e.lastSeen()) > forgetAfter {
 			delete(f.entries, a)
 			delete(f.senders, e.senderID)
+			f.addToZone(e.zone, -1)
 		}
 	}
 	f.publish(now)
@@ -113,15 +121,23 @@
 // getOrAddEntry returns the entry of an address and adds it if there is none. It
 // returns nil for the node's own address, for an empty one, and for an unknown one when
 // maxPeers addresses are tracked. The lock is held.
-func (f *Fleet) getOrAddEntry(now time.Time, addr string) *entry {
+func (f *Fleet) getOrAddEntry(now time.Time, addr, zone string) *entry {
 	e := f.entries[addr]
 	if e == nil && addr != f.self && addr != "" && len(f.entries) < maxPeers {
-		e = newEntry(now)
+		e = newEntry(now, zone)
 		f.entries[addr] = e
+		f.addToZone(zone, 1)
 	}
 	return e
 }
 
+// addToZone changes the number of entries of a zone. The lock is held.
+func (f *Fleet) addToZone(zone string, delta int) {
+	if f.zoneSizes[zone] += delta; f.zoneSizes[zone] <= 0 {
+		delete(f.zoneSizes, zone)
+	}
+}
+
 // setLast makes a heartbeat the last one of its entry. The lock is held.
 func (f *Fleet) setLast(now time.Time, e *entry, hb Heartbeat) {
 	if e.peer == nil || e.peer.Heartbeat.Epoch != hb.Epoch {
@@ -129,6 +145,11 @@
 		e.senderID = transit.SenderID(hb.Addr, hb.Epoch)
 		f.senders[e.senderID] = e
 	}
+	if e.zone != hb.Zone {
+		f.addToZone(e.zone, -1)
+		f.addToZone(hb.Zone, 1)
+		e.zone = hb.Zone
+	}
 	e.peer = &Peer{Heartbeat: hb, LastHeard: now}
 	if e.index < 0 || now.Sub(f.publishedAt) >= publishInterval {
 		f.publish(now)
