Faults seen while reading, each with a test that failed first

- front: after a failed write the connection went on reading, and ran its next request for nobody (TestNoRequestRunsAfterFailedWrite: /1 and /2 ran).
- target: a caller that left while a connection was dialed caused a backoff of the backend server.
- dispatch: the learned timeout of the callers of a route never fell, so one caller with a long timeout made all others count as late retries.
It is kept for one to two minutes now.
- front: a configured limit could allow a request that no link carries, and the peer would have closed the link with all calls on it.
The limits are capped.

--- a/internal/mesh/dispatch/retryafter.go
+++ b/internal/mesh/dispatch/retryafter.go
@@ -11,6 +11,9 @@
 	// minCallerRetryElapsed is how much of its timeout a caller must have used before its
 	// request counts as a retry by the caller.
 	minCallerRetryElapsed = 20 * time.Millisecond
+	// callerTimeoutPeriod is the shortest time for which the timeout of a caller is taken
+	// into account; the longest is two periods.
+	callerTimeoutPeriod = time.Minute
 	// maxTrackedRoutes bounds the routes whose caller timeouts, and those whose mean
 	// sizes, are kept.
 	maxTrackedRoutes = 4096
@@ -24,29 +27,29 @@
 )
 
 // callerTimeouts learns the timeout with which the callers of each route begin: the
-// longest timeout so far.
+// longest timeout of the current and the previous period.
 type callerTimeouts struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration
+	mu          sync.Mutex
+	periodStart time.Time
+	longest     map[string]time.Duration
+	previous    map[string]time.Duration // of the period before
 }
 
 func newCallerTimeouts() *callerTimeouts { return &callerTimeouts{longest: map[string]time.Duration{}} }
 
 // elapsed returns how much of its timeout a caller with a remaining time has used in
-// earlier attempts. A remaining time that is the longest of its route so far is recorded,
+// earlier attempts. A remaining time that is the longest of its route lately is recorded,
 // and counts as a first attempt.
-func (c *callerTimeouts) elapsed(route string, remaining time.Duration) time.Duration {
+func (c *callerTimeouts) elapsed(now time.Time, route string, remaining time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	longest, known := c.longest[route]
-	if !known && len(c.longest) >= maxTrackedRoutes {
-		c.longest = map[string]time.Duration{}
+	if now.Sub(c.periodStart) >= callerTimeoutPeriod || len(c.longest) >= maxTrackedRoutes {
+		c.previous, c.longest, c.periodStart = c.longest, map[string]time.Duration{}, now
 	}
-	if remaining > longest {
+	if remaining > c.longest[route] {
 		c.longest[route] = remaining
-		return 0
 	}
-	return longest - remaining
+	return max(c.longest[route], c.previous[route]) - remaining
 }
 
 // retryAfter returns the time after which the caller of a refused request should retry.
--- a/internal/mesh/dispatch/selector_test.go
+++ b/internal/mesh/dispatch/selector_test.go
@@ -94,9 +94,12 @@
 
 func TestElapsedCallerTimeIsLearned(t *testing.T) {
 	c := newCallerTimeouts()
-	require.Zero(t, c.elapsed("status", 2*time.Second))
-	require.Equal(t, 700*time.Millisecond, c.elapsed("status", 1300*time.Millisecond))
-	require.Zero(t, c.elapsed("history", 1300*time.Millisecond))
+	require.Zero(t, c.elapsed(epoch, "status", 2*time.Second))
+	require.Equal(t, 700*time.Millisecond, c.elapsed(epoch, "status", 1300*time.Millisecond))
+	require.Zero(t, c.elapsed(epoch, "history", 1300*time.Millisecond))
+	// One caller with a long timeout does not make the others look late for good.
+	require.Equal(t, 700*time.Millisecond, c.elapsed(epoch.Add(callerTimeoutPeriod), "status", 1300*time.Millisecond))
+	require.Zero(t, c.elapsed(epoch.Add(2*callerTimeoutPeriod), "status", 1300*time.Millisecond))
 }
 
 func TestMaxWait(t *testing.T) {
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -333,7 +333,7 @@
 		}
 		if broken {
 			c.cancel()
-			_ = c.nc.SetReadDeadline(expiredDeadline) // interrupts a read of readLoop
+			c.refuseRequests()
 		}
 		if p.method != "" { // startRequest counted it
 			c.server.inFlight.Add(-1)
@@ -344,6 +344,14 @@
 	}
 }
 
+// refuseRequests ends readLoop: no further request of the connection is run.
+func (c *conn) refuseRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	_ = c.nc.SetReadDeadline(expiredDeadline) // interrupts a read of readLoop
+}
+
 // finishRequest counts a request as answered and reports whether its reply is the last one
 // on the connection.
 func (c *conn) finishRequest(p *pendingReply) (last bool) {
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -49,6 +49,11 @@
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
 
+	// largestHeaderBytes and largestBodyBytes bound these limits, so that a request always
+	// fits into a message of a link.
+	largestHeaderBytes = 8 << 20
+	largestBodyBytes   = 64 << 20
+
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds how long a caller may take to read a reply.
@@ -155,7 +160,8 @@
 	return wait.Group(ctx, &s.wg)
 }
 
-// effectiveLimits returns the limits in force, with the defaults for those not set.
+// effectiveLimits returns the limits in force, with the defaults for those not set and
+// within what links can carry.
 func (s *Server) effectiveLimits() cicadaseam.Limits {
 	l := s.limits()
 	if l.MaxHeaderBytes <= 0 {
@@ -170,5 +176,7 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
+	l.MaxHeaderBytes = min(l.MaxHeaderBytes, largestHeaderBytes)
+	l.MaxBodyBytes = min(l.MaxBodyBytes, largestBodyBytes)
 	return l
 }
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/link/frame"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
 
@@ -102,6 +104,16 @@
 	}
 }
 
+// A request that the limits allow fits into a message of a link; a larger message would
+// close the link with all calls on it.
+func TestAllowedRequestsFitIntoALinkMessage(t *testing.T) {
+	s := New(echo, WithLimits(func() cicadaseam.Limits {
+		return cicadaseam.Limits{MaxHeaderBytes: 1 << 30, MaxBodyBytes: 1 << 30}
+	}))
+	l := s.effectiveLimits()
+	require.Less(t, l.MaxHeaderBytes+requestLineAllowance+l.MaxBodyBytes, frame.MaxMessageBytes)
+}
+
 func TestCallerThatLeavesCancelsAllItsRequests(t *testing.T) {
 	started, canceled := make(chan bool, 2), make(chan bool, 2)
 	_, nc, _ := startServer(t, func(ctx context.Context, _ *dispatch.Request) *dispatch.Reply {
@@ -167,15 +179,49 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// An idle connection is closed after exactly the idle timeout, counted from its last reply.
 func TestIdleTimeout(t *testing.T) {
-	_, nc, r := startServer(t, echo, cicadaseam.Limits{IdleTimeout: 80 * time.Millisecond})
-	for i := range 3 {
-		time.Sleep(40 * time.Millisecond)
-		_, _ = io.WriteString(nc, get(fmt.Sprintf("/%d", i)))
-		_, _ = readResponse(t, r)
-	}
-	_, err := r.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
+	synctest.Test(t, func(t *testing.T) {
+		const idleTimeout = 80 * time.Millisecond
+		nc, served := net.Pipe()
+		r := bufio.NewReader(nc)
+		New(echo, WithLimits(func() cicadaseam.Limits { return cicadaseam.Limits{IdleTimeout: idleTimeout} })).startConn(served)
+		for i := range 3 {
+			time.Sleep(40 * time.Millisecond)
+			_, _ = io.WriteString(nc, get(fmt.Sprintf("/%d", i)))
+			_, _ = readResponse(t, r)
+		}
+		lastReply := time.Now()
+		_, err := r.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, idleTimeout, time.Since(lastReply))
+	})
+}
+
+// unwritable is a connection on which every write fails.
+type unwritable struct{ net.Conn }
+
+func (unwritable) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// A caller that cannot get a reply gets none of its later requests run either.
+func TestNoRequestRunsAfterFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nc, served := net.Pipe()
+		var ran []string
+		s := New(func(ctx context.Context, req *dispatch.Request) *dispatch.Reply {
+			ran = append(ran, req.Path)
+			return echo(ctx, req)
+		})
+		s.startConn(unwritable{served})
+		_, _ = io.WriteString(nc, get("/1"))
+		synctest.Wait()
+		_ = nc.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(nc, get("/2")) // fails if the server has closed the connection
+		synctest.Wait()
+		require.Equal(t, []string{"/1"}, ran)
+		require.NoError(t, nc.Close())
+		s.wg.Wait()
+	})
 }
 
 func TestHeadResponseHasNoBody(t *testing.T) {
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -211,6 +211,9 @@
 	case !r.Sent:
 		answer.Outcome = cicadaseam.OutcomeNotRun
 		answer.Reason = cicadaseam.ReasonBackendLost
+		if ctx.Err() == context.Canceled {
+			answer.Reason = cicadaseam.ReasonCanceled // the caller left; that says nothing of the server
+		}
 	case ctx.Err() == context.DeadlineExceeded:
 		answer.Reason = cicadaseam.ReasonDeadline
 	case ctx.Err() != nil:
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -183,6 +183,18 @@
 	require.Equal(t, cicadaseam.OutcomeNotRun, target.Run(context.Background(), x).Outcome)
 }
 
+// A caller that leaves while a connection is dialed says nothing about the backend server.
+func TestCallerThatLeavesWhileDialingCausesNoBackoff(t *testing.T) {
+	target := newTarget(&fakeServer{addr: "192.0.2.1:9"}) // not dialed: the context has ended
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	answer := target.Run(ctx, request("q"))
+	require.Equal(t, cicadaseam.OutcomeNotRun, answer.Outcome)
+	require.Equal(t, cicadaseam.ReasonCanceled, answer.Reason)
+	_, serving := target.Instance(time.Now())
+	require.True(t, serving)
+}
+
 // A backend server that refuses connections gets no requests for a moment, and the
 // request that was refused a connection did not run.
 func TestBackoffAfterRefusedConnection(t *testing.T) {
