Backend servers that are gone without a sign are noticed within seconds

Cause: connections to backend servers had neither keep-alive probes nor a bound on unacknowledged bytes.

Change: the pool dials as links do (2 to 3 s until a connection to a silent server fails; a server that runs a long request acknowledges probes). When a connection breaks and a new one hangs, the target backs off as if it were refused, so that idempotent requests run elsewhere. TestConnectionsNoticeAServerThatIsGone and TestBackoffAfterHangingConnection failed before.

dispatch: a request waits for a slot no longer than its timeout leaves it time to run. It was refused at its timeout otherwise, by an answer that came too late, so that the caller got 504 for a request that had not run (TestMaxWait).

--- a/internal/client/connpool/connpool.go
+++ b/internal/client/connpool/connpool.go
@@ -18,6 +18,8 @@
 //   - A request is written on one connection, once.
 //   - Exchange reports sent unless no byte of the request was written.
 //   - A request whose context ends closes its connection.
+//   - A connection to a server that is gone without a sign fails within seconds, however
+//     long its request may run.
 //
 // # Usage
 //
@@ -35,6 +37,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 )
 
 // dialTimeout bounds the opening of a connection.
@@ -64,7 +68,7 @@
 // New returns an empty pool for the server at addr. A connection may be idle for
 // idleTimeout, unless Conn.SetIdleTimeout changes that.
 func New(addr string, idleTimeout time.Duration, opts ...Option) *Pool {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	d := netio.NewDialer(dialTimeout)
 	p := &Pool{addr: addr, idleTimeout: idleTimeout, dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }}
 	for _, opt := range opts {
 		opt(p)
--- a/internal/client/connpool/connpool_test.go
+++ b/internal/client/connpool/connpool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,3 +147,26 @@
 	})
 	require.False(t, reusable)
 }
+
+// The kernel must notice that a server is gone: its silence alone does not show it, since a
+// request may run for long.
+func TestConnectionsNoticeAServerThatIsGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := New(l.Addr().String(), time.Second).Get(t.Context(), time.Now(), time.Second)
+	require.NoError(t, err)
+	defer c.close()
+	option := func(level, name int) (value int) {
+		require.NoError(t, c.raw.Control(func(fd uintptr) {
+			var optErr error
+			value, optErr = syscall.GetsockoptInt(int(fd), level, name)
+			require.NoError(t, optErr)
+		}))
+		return value
+	}
+	const tcpUserTimeout = 18
+	require.Equal(t, 1, option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE))
+	require.Positive(t, option(syscall.IPPROTO_TCP, tcpUserTimeout))
+	require.LessOrEqual(t, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)+option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)*option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT), 3, "seconds")
+}
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -102,16 +102,19 @@
 // maxWait returns how long a request with an expected run time may wait for a slot. A
 // request that can still be on time may wait as long as it stays so. A late one waits
 // a short time, behind those that are on time. A nested call may wait until its
-// timeout: if it is refused, the slot of the outer request was occupied in vain.
+// timeout: if it is refused, the slot of the outer request was occupied in vain. No
+// request waits until its timeout leaves no time to run: it is refused before, while the
+// refusal still reaches the caller.
 func (r *Requirements) maxWait(runTime time.Duration) (wait time.Duration, late bool) {
+	longest := max(r.Timeout-runTime, 0)
 	if r.Nested {
-		return max(r.Timeout-runTime, 0), false
+		return longest, false
 	}
 	wait = time.Duration(plannedShare*float64(r.LatencyBudget)) - runTime
 	if wait > 0 {
-		return wait, false
+		return min(wait, longest), false
 	}
-	return time.Duration(lateWaitShare * float64(r.LatencyObjective)), true
+	return min(time.Duration(lateWaitShare*float64(r.LatencyObjective)), longest), true
 }
 
 // expectsRefusal reports whether a target is expected to refuse the request, given its
--- a/internal/mesh/dispatch/selector_test.go
+++ b/internal/mesh/dispatch/selector_test.go
@@ -103,21 +103,28 @@
 }
 
 func TestMaxWait(t *testing.T) {
+	const second = time.Second
 	route := &cicadaseam.MeshRoute{LatencyObjective: 400 * time.Millisecond}
 	tests := []struct {
-		name string
-		left time.Duration
-		want time.Duration
-		late bool
+		name    string
+		left    time.Duration // until the end of the latency objective
+		timeout time.Duration
+		nested  bool
+		want    time.Duration
+		late    bool
 	}{
-		{"first attempt", 400 * time.Millisecond, 260 * time.Millisecond, false},
-		{"half of the budget used", 200 * time.Millisecond, 80 * time.Millisecond, false},
-		{"too late to be on time", 100 * time.Millisecond, 100 * time.Millisecond, true},
-		{"over", -time.Second, 100 * time.Millisecond, true},
+		{"first attempt", 400 * time.Millisecond, second, false, 260 * time.Millisecond, false},
+		{"half of the budget used", 200 * time.Millisecond, second, false, 80 * time.Millisecond, false},
+		{"too late to be on time", 100 * time.Millisecond, second, false, 100 * time.Millisecond, true},
+		{"over", -second, second, false, 100 * time.Millisecond, true},
+		{"on time, but short of time", 400 * time.Millisecond, 250 * time.Millisecond, false, 150 * time.Millisecond, false},
+		{"late and short of time", -second, 130 * time.Millisecond, false, 30 * time.Millisecond, true},
+		{"late and out of time", -second, 90 * time.Millisecond, false, 0, true},
+		{"nested", 100 * time.Millisecond, 350 * time.Millisecond, true, 250 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			req := (&exchange{route: route, latencyDeadline: epoch.Add(tt.left)}).requirements(epoch)
+			req := (&exchange{route: route, latencyDeadline: epoch.Add(tt.left), deadline: epoch.Add(tt.timeout + replyMargin), nested: tt.nested}).requirements(epoch)
 			wait, late := req.maxWait(100 * time.Millisecond)
 			require.Equal(t, tt.want, wait)
 			require.Equal(t, tt.late, late)
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -67,18 +67,34 @@
 // server still listens.
 const crashProbeTimeout = 300 * time.Millisecond
 
-// detectCrash checks whether the backend server crashed while it ran a request whose
-// connection broke, and records the crash. A server that only closed the connection
-// still accepts new ones.
-func (t *Target) detectCrash(s *server, result *upstream.Result) {
+// detectLoss checks whether the backend server is still there after the connection of a
+// request broke. A server that only closed the connection still accepts new ones.
+func (t *Target) detectLoss(s *server, result *upstream.Result) {
 	if result.Err == nil || !result.Sent {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	if !s.client.RefusesConnections(ctx) {
-		return
+	switch s.client.Probe(ctx) {
+	case upstream.Refusing:
+		t.recordCrash(s)
+	case upstream.Unreachable:
+		t.recordUnreachable(s)
 	}
+}
+
+// recordUnreachable stops sending requests to a backend server that does not answer. Those
+// that are queued can run elsewhere.
+func (t *Target) recordUnreachable(s *server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.backOff(time.Now())
+	t.logger.Info("backend server unreachable", zap.String("instance", s.id), zap.Int("running", s.queue.Running()), zap.Int("failures", s.connectFailures))
+}
+
+// recordCrash stops sending requests to a backend server that crashed, and records which
+// requests it was running.
+func (t *Target) recordCrash(s *server) {
 	t.mu.Lock()
 	now := time.Now()
 	reported := now.Before(s.backoffUntil)
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -180,7 +180,7 @@
 	result := s.client.Do(ctx, call, s.id, remaining)
 	took := time.Since(began)
 	if ctx.Err() == nil {
-		t.detectCrash(s, &result)
+		t.detectLoss(s, &result)
 	}
 	answer := &cicadaseam.MeshAnswer{BackendTime: took, ReachedBackend: result.Sent}
 	t.setOutcome(ctx, answer, &result)
@@ -242,8 +242,14 @@
 	}
 	s.stats.recordFailure(now)
 	if !answer.ReachedBackend {
-		s.connectFailures++
-		s.backoffUntil = now.Add(min(minBackoff<<min(s.connectFailures-1, 10), maxBackoff))
-		s.queue.RefuseAll()
+		s.backOff(now)
 	}
 }
+
+// backOff refuses the queued requests and all others for a while, which doubles with each
+// failure in a row. Target.mu must be held.
+func (s *server) backOff(now time.Time) {
+	s.connectFailures++
+	s.backoffUntil = now.Add(min(minBackoff<<min(s.connectFailures-1, 10), maxBackoff))
+	s.queue.RefuseAll()
+}
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -75,7 +75,7 @@
 	draining  bool
 	// backoffUntil is when a server that refused a connection or crashed is tried again.
 	backoffUntil    time.Time
-	connectFailures int // since the last success; no byte was sent in any of them
+	connectFailures int // since the last success: connections that could not be opened
 	warmUpUntil     time.Time
 	expiryScheduled bool
 	// runningFingerprints counts the running requests by fingerprint.
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,7 +187,7 @@
 
 // A caller that leaves while a connection is dialed says nothing about the backend server.
 func TestCallerThatLeavesWhileDialingCausesNoBackoff(t *testing.T) {
-	target := newTarget(&fakeServer{addr: "192.0.2.1:9"}) // not dialed: the context has ended
+	target := newTarget(&fakeServer{addr: "127.0.0.1:1"}) // not dialed: the context has ended
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	answer := target.Run(ctx, request("q"))
@@ -195,6 +197,47 @@
 	require.True(t, serving)
 }
 
+// hangingServer takes one connection, reads a request and closes the connection. From then
+// on, new connections hang, as those to an instance without power do.
+func hangingServer(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	bound, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+	go func() {
+		conn, _, err := syscall.Accept(fd)
+		if err != nil {
+			return
+		}
+		_, _ = syscall.Read(conn, make([]byte, 4096))
+		for range 8 { // fills the queue of connections that nobody accepts
+			if c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond); err == nil {
+				t.Cleanup(func() { _ = c.Close() })
+			}
+		}
+		_ = syscall.Close(conn)
+	}()
+	return addr
+}
+
+// After a connection broke and a new one hangs, the backend server gets no requests for a
+// moment, although nothing refuses a connection. The request may have run.
+func TestBackoffAfterHangingConnection(t *testing.T) {
+	target := newTarget(&fakeServer{addr: hangingServer(t)})
+	answer := target.Run(context.Background(), request("q"))
+	require.Equal(t, cicadaseam.OutcomeUnknown, answer.Outcome)
+	require.Equal(t, cicadaseam.ReasonBackendLost, answer.Reason)
+	now := time.Now()
+	_, serving := target.Instance(now)
+	require.False(t, serving)
+	_, serving = target.Instance(now.Add(maxBackoff))
+	require.True(t, serving)
+}
+
 // A backend server that refuses connections gets no requests for a moment, and the
 // request that was refused a connection did not run.
 func TestBackoffAfterRefusedConnection(t *testing.T) {
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -89,10 +89,29 @@
 // Dials returns how many connections were dialed for requests.
 func (c *Client) Dials() int64 { return c.pool.Dials() }
 
-// RefusesConnections reports whether the backend server refuses a new connection, which
-// distinguishes a crashed process from a process that closed a connection.
-func (c *Client) RefusesConnections(ctx context.Context) bool {
-	return errors.Is(c.pool.Probe(ctx), syscall.ECONNREFUSED)
+// Reachability is what a new connection shows of a backend server.
+type Reachability uint8
+
+// The results of Probe.
+const (
+	// Reachable means that the server accepts connections: it only closed one.
+	Reachable Reachability = iota
+	// Refusing means that no process listens: the server crashed.
+	Refusing
+	// Unreachable means that nothing answers.
+	Unreachable
+)
+
+// Probe opens a connection to the backend server to see whether it is still there.
+func (c *Client) Probe(ctx context.Context) Reachability {
+	err := c.pool.Probe(ctx)
+	switch {
+	case err == nil:
+		return Reachable
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refusing
+	}
+	return Unreachable
 }
 
 // Close closes the idle connections. From now on, none is kept for reuse.
