--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -223,29 +223,42 @@
 // SetRetryBudget changes the retry budget of the fleet.
 func (d *Dispatcher) SetRetryBudget(c RetryBudgetConfig) { d.budget.SetConfig(c) }
 
+// noService stands for the service of a request whose route is not known.
+const noService = "none"
+
 // Serve returns the reply to a request.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request) *Reply {
+	reply, stats := d.serve(ctx, r)
+	stats.Latency = time.Since(r.Arrived)
+	d.observer.ObserveReply(stats)
+	return reply
+}
+
+func (d *Dispatcher) serve(ctx context.Context, r *Request) (*Reply, ReplyStats) {
+	stats := ReplyStats{Service: noService, Outcome: cicadaseam.OutcomeNotRun.String()}
 	table := d.tables.Table()
 	if table == nil {
-		return d.refuse(nil, cicadaseam.ReasonNotReady, notReadyRetryAfter)
+		stats.Reason = cicadaseam.ReasonNotReady
+		return d.refuse(nil, stats.Reason, notReadyRetryAfter), stats
 	}
 	rt := table.Find(r.Host, r.Path)
 	if rt == nil {
 		d.logger.Info("no route", zap.String("request", r.Header.Get(d.Headers.RequestID)), zap.String("host", r.Host), zap.Uint64("revision", table.Number))
-		return &Reply{Status: http.StatusNotFound}
+		stats.Reason = cicadaseam.ReasonNoRoute
+		return &Reply{Status: http.StatusNotFound}, stats
 	}
 	ex := d.prepare(r, rt, table.Number)
+	stats.Service, stats.Priority = ex.call.Service, rt.Priority
 	if wait, refused := d.guard.Refused(time.Now(), ex.call.Fingerprint); refused {
-		return d.refuse(ex, cicadaseam.ReasonQuarantine, wait)
+		stats.Reason = cicadaseam.ReasonQuarantine
+		return d.refuse(ex, stats.Reason, wait), stats
 	}
 	ctx, cancel := context.WithDeadline(ctx, ex.deadline)
 	defer cancel()
 	reply, outcome, reason := d.tryTargets(ctx, ex)
-	d.observer.ObserveReply(ReplyStats{
-		Service: ex.call.Service, Priority: rt.Priority, Outcome: outcome, Reason: reason,
-		Latency: time.Since(ex.arrived), QueueTime: ex.queueTime, BackendTime: ex.backendTime,
-	})
-	return reply
+	stats.Outcome, stats.Reason = outcome, reason
+	stats.QueueTime, stats.BackendTime = ex.queueTime, ex.backendTime
+	return reply, stats
 }
 
 // tryTargets sends a request to one target after another until its reply is known.
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -160,3 +160,39 @@
 	m.table = nil
 	require.Equal(t, http.StatusServiceUnavailable, m.serve(t, nil).Status)
 }
+
+// replyRecorder records the replies that it observes.
+type replyRecorder struct{ stats []ReplyStats }
+
+func (r *replyRecorder) ObserveReply(s ReplyStats) { r.stats = append(r.stats, s) }
+
+func (r *replyRecorder) ObserveRetry(string, bool) {}
+
+// refuseAll is a guard that refuses each request.
+type refuseAll struct{}
+
+func (refuseAll) Refused(time.Time, uint64) (time.Duration, bool) { return time.Second, true }
+
+// Each reply is counted, also one that is made before a target is selected.
+func TestEachReplyIsObserved(t *testing.T) {
+	m := newFakeMesh(t, true)
+	m.add("a", ran)
+	recorder := &replyRecorder{}
+	d := New("self", "north", "portal", m, m, noLocal{}, m, rand.New(rand.NewPCG(1, 1)), WithObserver(recorder))
+	serve := func(path string) {
+		d.Serve(context.Background(), &Request{Method: "GET", Host: "a.example", Path: path, RequestURI: path, Header: http.Header{}, Arrived: time.Now()})
+	}
+	serve("/x/1")
+	serve("/y/")
+	d.guard = refuseAll{}
+	serve("/x/1")
+	m.table = nil
+	serve("/x/1")
+	var reasons []cicadaseam.Reason
+	for _, s := range recorder.stats {
+		reasons = append(reasons, s.Reason)
+	}
+	require.Equal(t, []cicadaseam.Reason{cicadaseam.ReasonNone, cicadaseam.ReasonNoRoute, cicadaseam.ReasonQuarantine, cicadaseam.ReasonNotReady}, reasons)
+	require.Equal(t, "desk", recorder.stats[2].Service)
+	require.Equal(t, noService, recorder.stats[3].Service)
+}
