node: logs to standard output that never block; a bound for cleared marks

Cause: `cicadaseam node` wrote its log unbuffered to standard error, so calls waited for whoever reads it.

quarantine: the cleared marks had no bound; the package has tests of its own now.

Conclusion: one constructor for daemon logs, newLogger is gone.

--- a/cmd/cicadaseam/process_test.go
+++ b/cmd/cicadaseam/process_test.go
@@ -41,14 +41,15 @@
 	os.Exit(code)
 }
 
-// process is a running command and what it wrote to standard error.
+// process is a running command and what it wrote to standard error, and to standard output
+// if it is a node.
 type process struct {
 	cmd  *exec.Cmd
-	logs bytes.Buffer // standard error
+	logs bytes.Buffer
 	mu   sync.Mutex
 }
 
-// Write implements io.Writer and collects the standard error of the command.
+// Write implements io.Writer and collects the output of the command.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -61,7 +62,7 @@
 	return p.logs.String()
 }
 
-// start starts a command and returns it with its first line of output. A node prints none.
+// start starts a command and returns it with its first line of output.
 func start(t *testing.T, args ...string) (*process, string) {
 	p := &process{cmd: exec.Command(binary, args...)}
 	p.cmd.Stderr = p
@@ -69,9 +70,6 @@
 	require.NoError(t, err)
 	require.NoError(t, p.cmd.Start())
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // it may have exited
-	if args[0] == "node" {
-		return p, ""
-	}
 	line, err := bufio.NewReader(out).ReadString('\n')
 	require.NoError(t, err, p.logText())
 	go func() { _, _ = io.Copy(io.Discard, out) }() // until the process ends
@@ -119,15 +117,22 @@
 	callURL, backendURL, operatorURL string
 }
 
-// startNode starts a node with settings of its own in a zone of its own.
-func startNode(t *testing.T, i int, logURL string) testNode {
+// startNode starts a node with settings of its own in a zone of its own. Its standard output
+// is written to out, or else collected.
+func startNode(t *testing.T, i int, logURL, level string, out io.Writer) testNode {
 	addrs := freeAddrs(t, 4)
 	text := fmt.Sprintf("[node]\nname = node-%d\nregion = us-southeast\ndeployment = georgia-east\nzone = atl-%s\n"+
-		"[listen]\ncalls = %s\nlinks = %s\nbackend = %s\noperator = %s\n[log]\nurl = %s\n",
-		i, []string{"north", "south", "east"}[i], addrs[0], addrs[1], addrs[2], addrs[3], logURL)
+		"[listen]\ncalls = %s\nlinks = %s\nbackend = %s\noperator = %s\n[log]\nurl = %s\n[logging]\nlevel = %s\n",
+		i, []string{"north", "south", "east"}[i], addrs[0], addrs[1], addrs[2], addrs[3], logURL, level)
 	file := filepath.Join(t.TempDir(), "node.ini")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	p, _ := start(t, "node", file)
+	p := &process{cmd: exec.Command(binary, "node", file)}
+	p.cmd.Stderr, p.cmd.Stdout = p, p
+	if out != nil {
+		p.cmd.Stdout = out
+	}
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // it may have exited
 	return testNode{process: p, callURL: "http://" + addrs[0], backendURL: "http://" + addrs[2], operatorURL: "http://" + addrs[3]}
 }
 
@@ -159,7 +164,7 @@
 	logURL := "http://" + regexp.MustCompile(`\S+$`).FindString(strings.TrimSpace(firstLine))
 	var nodes []testNode
 	for i := range 3 {
-		n := startNode(t, i, logURL)
+		n := startNode(t, i, logURL, "info", nil)
 		nodes = append(nodes, n)
 		eventually(t, "the backend address answers", func() bool {
 			status, _ := get(n.backendURL+"/", "")
@@ -251,3 +256,32 @@
 	require.Positive(t, succeeded)
 	require.Contains(t, nodes[2].logText(), `"msg":"drained"`)
 }
+
+// A node whose log nobody reads still answers its calls. Its lines at level debug fill the
+// pipe, to which a write then blocks.
+func TestUnreadLogBlocksNoCall(t *testing.T) {
+	const calls = 3000 // their lines do not fit into a pipe of 64 KiB
+	_, firstLine := start(t, "logd", "--listen", "127.0.0.1:0")
+	logURL := "http://" + regexp.MustCompile(`\S+$`).FindString(strings.TrimSpace(firstLine))
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = reader.Close()
+		_ = writer.Close()
+	})
+	n := startNode(t, 0, logURL, "debug", writer)
+	eventually(t, "the backend address answers", func() bool {
+		status, _ := get(n.backendURL+"/", "")
+		return status > 0
+	})
+	start(t, "backend", "--service", "status-portal", "--node", n.backendURL)
+	run(t, 0, "publish", "../../examples/peachtree.ini", "--wait", "--node", n.operatorURL)
+	eventually(t, "calls are answered", func() bool {
+		status, _ := get(n.callURL+"/status/claim", "passenger-token")
+		return status == 200
+	})
+	for i := range calls {
+		status, body := get(n.callURL+"/status/claim", "passenger-token")
+		require.Equal(t, 200, status, "call %d: %s", i, body)
+	}
+}
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -209,7 +209,7 @@
 func (n *Node) Start() error {
 	n.logs = newLogWatcher()
 	n.cmd = exec.Command(n.fleet.cfg.Binary, "node", n.settingsFile)
-	n.cmd.Stderr = n.logs
+	n.cmd.Stdout, n.cmd.Stderr = n.logs, n.logs
 	if err := n.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", n.Host.Name)
 	}
--- a/internal/call/quarantine/quarantine.go
+++ b/internal/call/quarantine/quarantine.go
@@ -38,8 +38,8 @@
 	maxPeriod = 10 * time.Minute
 	// crashesToRefuse is the number of crashes that get a fingerprint refused.
 	crashesToRefuse = 2
-	// MaxEntries bounds the number of marked fingerprints. When it is reached, the
-	// entry that expires first makes room for a new one.
+	// MaxEntries bounds the number of marked fingerprints, and that of cleared marks. When
+	// it is reached, the one that expires first makes room for a new one.
 	MaxEntries = 4096
 )
 
@@ -130,6 +130,7 @@
 		return false
 	}
 	if m.Cleared {
+		q.evictClearedIfFull()
 		q.cleared[key] = now.Add(maxPeriod)
 		q.removeCrash(m)
 		return true
@@ -241,3 +242,18 @@
 	}
 	delete(q.entries, evicted)
 }
+
+// evictClearedIfFull makes room for a new cleared mark.
+func (q *Quarantine) evictClearedIfFull() {
+	if len(q.cleared) < MaxEntries {
+		return
+	}
+	var evicted markKey
+	var expires time.Time
+	for key, at := range q.cleared {
+		if expires.IsZero() || at.Before(expires) {
+			evicted, expires = key, at
+		}
+	}
+	delete(q.cleared, evicted)
+}
--- /dev/null
+++ b/internal/call/quarantine/quarantine_test.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const poison = 7 // a fingerprint
+
+func TestTwoCrashesRefuseAFingerprintForAPeriod(t *testing.T) {
+	q := New(WithPeriod(time.Minute))
+	q.RecordCrash(epoch, "a/1", []uint64{poison})
+	_, refused := q.Refused(epoch, poison)
+	require.False(t, refused, "one crash")
+	q.RecordCrash(epoch, "a/1", []uint64{poison})
+	_, refused = q.Refused(epoch, poison)
+	require.False(t, refused, "the same crash again")
+	q.RecordCrash(epoch, "b/1", []uint64{poison})
+	wait, refused := q.Refused(epoch.Add(time.Second), poison)
+	require.True(t, refused)
+	require.Equal(t, 59*time.Second, wait)
+	_, refused = q.Refused(epoch.Add(time.Minute), poison)
+	require.False(t, refused, "the refusal ends by itself")
+	q.RecordCrash(epoch.Add(61*time.Second), "c/1", []uint64{poison})
+	wait, refused = q.Refused(epoch.Add(61*time.Second), poison)
+	require.True(t, refused, "one more crash on probation")
+	require.Equal(t, 2*time.Minute, wait)
+}
+
+// A request that succeeds was not the cause. A late copy of its mark does not count.
+func TestSuccessClearsMarksForGood(t *testing.T) {
+	q, other := New(), New()
+	marks := q.RecordCrash(epoch, "a/1", []uint64{poison})
+	require.Len(t, other.MergeMarks(epoch, marks), 1)
+	cleared := q.RecordSuccess(epoch, poison)
+	require.Len(t, other.MergeMarks(epoch, cleared), 1)
+	require.Empty(t, other.MergeMarks(epoch, marks))
+	other.RecordCrash(epoch, "b/1", []uint64{poison})
+	_, refused := other.Refused(epoch, poison)
+	require.False(t, refused)
+}
+
+// However many crashes there are, the memory that they take is bounded, and the newest
+// ones are kept.
+func TestMarksAndClearedMarksAreBounded(t *testing.T) {
+	q := New()
+	for i := range MaxEntries + 10 {
+		at := epoch.Add(time.Duration(i) * time.Microsecond)
+		q.merge(at, cicadaseam.CrashMark{Fingerprint: uint64(i), CrashID: strconv.Itoa(i), Cleared: true})
+		q.merge(at, cicadaseam.CrashMark{Fingerprint: uint64(i), CrashID: "x"})
+	}
+	require.Len(t, q.cleared, MaxEntries)
+	require.Len(t, q.entries, MaxEntries)
+	require.Contains(t, q.cleared, markKey{MaxEntries + 9, strconv.Itoa(MaxEntries + 9)})
+}
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -16,8 +16,6 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 // Exit codes.
@@ -124,16 +122,3 @@
 	}
 	return exitFailed
 }
-
-// newLogger returns a logger that writes JSON lines from a level up.
-func newLogger(w io.Writer, level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, &usageError{reason: err.Error()}
-	}
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	enc.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), l)
-	return zap.New(core), nil
-}
--- a/internal/command/cli/daemons.go
+++ b/internal/command/cli/daemons.go
@@ -37,11 +37,12 @@
 	}
 	logger := zap.NewNop()
 	if c.Log != "" {
-		l, err := newLogger(s.err, c.Log)
+		logs, err := openLog(s.err, c.Log)
 		if err != nil {
 			return err
 		}
-		logger = l
+		defer logs.close()
+		logger = logs.Logger
 	}
 	return demo.Run(ctx, s.out, demo.Config{
 		Deployment: c.Deployment, Seconds: c.Seconds, Rate: c.Rate, ServiceTime: c.ServiceTime, Logger: logger,
@@ -68,11 +69,12 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.err, settings.LogLevel)
+	logs, err := openLog(s.out, settings.LogLevel)
 	if err != nil {
 		return err
 	}
-	n, err := node.New(*settings, logclient.New(settings.LogURL), node.WithLogger(logger))
+	defer logs.close()
+	n, err := node.New(*settings, logclient.New(settings.LogURL), node.WithLogger(logs.Logger))
 	if err != nil {
 		return err
 	}
--- a/internal/command/cli/sidecar.go
+++ b/internal/command/cli/sidecar.go
@@ -32,13 +32,12 @@
 	if err != nil {
 		return err
 	}
-	logs := logging.New(s.out)
-	defer logs.Close()
-	level := zap.NewAtomicLevel()
-	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
-		return &usageError{reason: err.Error()}
+	logs, err := openLog(s.out, settings.LogLevel)
+	if err != nil {
+		return err
 	}
-	logger := zap.New(logs.Core(level)).With(zap.String("node", settings.Name))
+	defer logs.close()
+	logger := logs.With(zap.String("node", settings.Name))
 	meter := sidecar.NewMeter()
 	store := platform.NewStore(settings.StoreAddr, meter.ObserveStoreCall)
 	p := sidecar.Platform{
@@ -47,11 +46,11 @@
 		Headers:            platform.Headers(),
 		NewRegistryHandler: func(r *sidecar.Registrar) http.Handler { return platform.NewRegistryHandler(r, logger) },
 	}
-	n, err := sidecar.New(*settings, p, sidecar.WithLogger(logger), sidecar.WithMeter(meter), sidecar.WithDroppedLines(logs.Dropped))
+	n, err := sidecar.New(*settings, p, sidecar.WithLogger(logger), sidecar.WithMeter(meter), sidecar.WithDroppedLines(logs.writer.Dropped))
 	if err != nil {
 		return err
 	}
-	go reloadOnHangup(ctx, n, file, logger, level)
+	go reloadOnHangup(ctx, n, file, logger, logs.level)
 	return n.Run(ctx)
 }
 
