cicadasidecar: the sidecar in a program of its own

The program beside each backend server linked the command line, the demo, the test servers and the other daemon.

--- a/internal/base/logging/logging.go
+++ b/internal/base/logging/logging.go
@@ -13,9 +13,9 @@
 //
 // # Usage
 //
-//	w := logging.New(os.Stdout)
-//	defer w.Close()
-//	logger := zap.New(w.Core(level))
+//	log, err := logging.Open(os.Stdout, "info")
+//	defer log.Close()
+//	log.Info("node started")
 package logging
 
 import (
--- a/internal/command/cli/daemons.go
+++ b/internal/command/cli/daemons.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/logging"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/client/logclient"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/demo"
@@ -37,12 +38,12 @@
 	}
 	logger := zap.NewNop()
 	if c.Log != "" {
-		logs, err := openLog(s.err, c.Log)
+		log, err := logging.Open(s.err, c.Log)
 		if err != nil {
-			return err
+			return &usageError{reason: err.Error()}
 		}
-		defer logs.close()
-		logger = logs.Logger
+		defer log.Close()
+		logger = log.Logger
 	}
 	return demo.Run(ctx, s.out, demo.Config{
 		Deployment: c.Deployment, Seconds: c.Seconds, Rate: c.Rate, ServiceTime: c.ServiceTime, Logger: logger,
@@ -69,12 +70,12 @@
 	if err != nil {
 		return err
 	}
-	logs, err := openLog(s.out, settings.LogLevel)
+	log, err := logging.Open(s.out, settings.LogLevel)
 	if err != nil {
 		return err
 	}
-	defer logs.close()
-	n, err := node.New(*settings, logclient.New(settings.LogURL), node.WithLogger(logs.Logger))
+	defer log.Close()
+	n, err := node.New(*settings, logclient.New(settings.LogURL), node.WithLogger(log.Logger))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/command/sidecarcli/sidecarcli.go
@@ -0,0 +1,131 @@
+// Package sidecarcli implements the command line of cicadasidecar, and the command sidecar
+// of cicadaseam.
+//
+// A sidecar runs beside each backend server, so the size of its program counts. This
+// package links only what a sidecar needs.
+//
+// # Usage
+//
+//	os.Exit(sidecarcli.Main(os.Args[1:], os.Stdout, os.Stderr))
+//
+// The exit code is 0 when the process ended after a signal, 1 when it failed, and 2 when
+// its arguments are invalid.
+package sidecarcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/zap"
+
+	"github.com/cicadaseam/cicadaseam/internal/base/logging"
+	"github.com/cicadaseam/cicadaseam/internal/daemon/sidecar"
+	"github.com/cicadaseam/cicadaseam/platform"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// sidecarGCPercent is the garbage collection percentage (GOGC) of a sidecar.
+const sidecarGCPercent = 200
+
+// Args are the arguments of a sidecar.
+type Args struct {
+	Settings string `arg:"positional" help:"INI file with the settings; without it, the file that the platform names"`
+}
+
+// Description implements arg.Described.
+func (Args) Description() string {
+	return "cicadasidecar runs a mesh proxy beside a backend server of the platform."
+}
+
+// Main runs a sidecar and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var a Args
+	parser, err := arg.NewParser(arg.Config{Program: "cicadasidecar", Out: errOut}, &a)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	switch err := parser.Parse(args); {
+	case err == arg.ErrHelp:
+		parser.WriteHelp(out)
+		return exitDone
+	case err != nil:
+		fmt.Fprintf(errOut, "cicadasidecar: %v\nuse cicadasidecar --help\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := Run(ctx, a.Settings, out); err != nil {
+		fmt.Fprintf(errOut, "cicadasidecar: %v\n", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// Run runs a sidecar with the settings of a file, or of the one that the platform names,
+// until the context ends. It logs to out.
+func Run(ctx context.Context, file string, out io.Writer) error {
+	debug.SetGCPercent(sidecarGCPercent)
+	if file == "" {
+		file = platform.SettingsPath()
+	}
+	settings, err := sidecar.Load(file)
+	if err != nil {
+		return err
+	}
+	log, err := logging.Open(out, settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	logger := log.With(zap.String("node", settings.Name))
+	meter := sidecar.NewMeter()
+	store := platform.NewStore(settings.StoreAddr, meter.ObserveStoreCall)
+	p := sidecar.Platform{
+		Source:             store,
+		Directory:          store,
+		Headers:            platform.Headers(),
+		NewRegistryHandler: func(r *sidecar.Registrar) http.Handler { return platform.NewRegistryHandler(r, logger) },
+	}
+	n, err := sidecar.New(*settings, p, sidecar.WithLogger(logger), sidecar.WithMeter(meter), sidecar.WithDroppedLines(log.Dropped))
+	if err != nil {
+		return err
+	}
+	go reloadOnHangup(ctx, n, file, log, logger)
+	return n.Run(ctx)
+}
+
+// reloadOnHangup loads the settings again on each SIGHUP. Invalid settings change nothing.
+func reloadOnHangup(ctx context.Context, n *sidecar.Node, file string, log *logging.Log, logger *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		settings, err := sidecar.Load(file)
+		if err == nil {
+			err = log.Level.UnmarshalText([]byte(settings.LogLevel))
+		}
+		if err != nil {
+			logger.Error("settings not reloaded, the previous ones stay in force", logging.Error(err))
+			continue
+		}
+		n.Reload(*settings)
+	}
+}
