dispatch: a call of a retried run does not raise the retry budget

The calls of retried runs were counted as retries, and also as requests, each of which allows a fifth of a retry. Ruled out: a run whose retry flag is lost on the way (trace: nested ids and flags agree).

Change: they are counted as retries only. TestCallsOfRetriedRunAreRetries, red before.

--- a/internal/mesh/dispatch/budget_test.go
+++ b/internal/mesh/dispatch/budget_test.go
@@ -104,8 +104,10 @@
 func (f *budgetFleet) serve(at time.Duration, service string, nestedInRetry bool) bool {
 	budget, now := f.budgets[f.rng.IntN(len(f.budgets))], epoch.Add(at)
 	nested := service == "records"
-	budget.RecordRequest(now, service)
-	f.requests[service] = append(f.requests[service], at)
+	if !nestedInRetry {
+		budget.RecordRequest(now, service)
+		f.requests[service] = append(f.requests[service], at)
+	}
 	for attempt := range 2 {
 		isRetry := nestedInRetry || attempt > 0
 		if isRetry && !budget.TryAcquire(now, service, len(f.budgets), nested) {
@@ -191,6 +193,11 @@
 	require.Equal(t, http.StatusServiceUnavailable, serve("q1.2"), "half of a slack of 2 is this node's")
 	require.Equal(t, http.StatusOK, serve("q2"))
 	require.Equal(t, []bool{true, false}, sent)
+	requests := 0.0
+	for _, b := range d.budget.services["desk"] {
+		requests += b.requests
+	}
+	require.Equal(t, 1.0, requests, "a call of a retried run is no request of its own")
 }
 
 // A retry that the budget refuses does not count as sent to a target.
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -83,7 +83,9 @@
 		Headers:          d.forwardedHeaders(r.Header),
 		Fingerprint:      quarantine.Fingerprint(d.Service, r.Method, r.RequestURI, r.Body),
 	}
-	d.budget.RecordRequest(now, ex.call.Service)
+	if !nestedInRetry { // such a call is a retry, not a request that allows retries
+		d.budget.RecordRequest(now, ex.call.Service)
+	}
 	return ex
 }
 
