--- a/internal/mesh/dispatch/reply.go
+++ b/internal/mesh/dispatch/reply.go
@@ -91,7 +91,7 @@
 	if ex != nil {
 		d.logger.Info("request refused", zap.String("request", ex.call.ID), zap.String("service", ex.call.Service), zap.String("route", ex.route.Name), zap.Bool("nested", ex.nested),
 			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(ex.tried)), zap.Int("passed-over", ex.skipped),
-			zap.Bool("returning", ex.callerRetry), zap.Duration("took", time.Since(ex.arrived)), zap.Uint64("revision", ex.revision))
+			zap.Bool("returning", ex.callerRetry), zap.Duration("timeout", ex.callerTimeout), zap.Duration("took", time.Since(ex.arrived)), zap.Uint64("revision", ex.revision))
 	}
 	value := strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
 	return &Reply{Status: http.StatusServiceUnavailable, Headers: []cicadaseam.Header{{Name: "Retry-After", Value: value}}}
