Callers' timeouts vary; connections are bounded; a lack of descriptors ends no listener

Change: the usual timeout of a route is a quantile (0.9) of those seen, and an attempt with 0.8 of it or more is a first one (TestElapsedCallerTimeIsLearned, red before).

Callers retry on new connections and leave the old ones idle. Accept failed for lack of descriptors and the server stopped accepting for good: it retries now (TestAcceptContinuesAfterAFailure).

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -18,9 +18,9 @@
 // idempotent or the backend server proved that it did not run, and only within the
 // MaxAttempts of its route and the RetryBudget.
 //
-// The timeout with which the callers of a route begin is learned as well. A request
-// with less time left is taken for a retry of a request that was refused before, and its
-// latency objective counts from the caller's first attempt.
+// The timeout with which the callers of a route usually begin is learned as well. A request
+// with clearly less time left is taken for a retry of a request that was refused before,
+// and its latency objective counts from the caller's first attempt.
 //
 // # Invariants
 //
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -54,7 +54,7 @@
 func (d *Dispatcher) prepare(r *Request, rt *cicadaseam.MeshRoute, revision uint64) *exchange {
 	now := time.Now()
 	timeout := parseCallerTimeout(r.Header.Get(d.Headers.Timeout), rt.Timeout)
-	elapsed := d.callerTimeouts.elapsed(now, rt.Name, timeout)
+	elapsed := d.callerTimeouts.elapsed(rt.Name, timeout)
 	nested, nestedInRetry := d.outerRun(r.Header.Get(d.Headers.RequestID))
 	ex := &exchange{
 		route:           rt,
--- a/internal/mesh/dispatch/retryafter.go
+++ b/internal/mesh/dispatch/retryafter.go
@@ -11,9 +11,15 @@
 	// minCallerRetryElapsed is how much of its timeout a caller must have used before its
 	// request counts as a retry by the caller.
 	minCallerRetryElapsed = 20 * time.Millisecond
-	// callerTimeoutPeriod is the shortest time for which the timeout of a caller is taken
-	// into account; the longest is two periods.
-	callerTimeoutPeriod = time.Minute
+	// firstAttemptShare is the share of the usual timeout of a route with which a request
+	// still counts as the first attempt of its caller: callers of one route do not all wait
+	// equally long.
+	firstAttemptShare = 0.8
+	// usualTimeoutQuantile is the quantile of the timeouts of a route that counts as the
+	// usual one. A lower one would fall when many callers retry, and the longest timeout
+	// may be that of a single caller. timeoutAdjustment is the relative change by a sample.
+	usualTimeoutQuantile = 0.9
+	timeoutAdjustment    = 0.02
 	// maxTrackedRoutes bounds the routes whose caller timeouts, and those whose mean
 	// sizes, are kept.
 	maxTrackedRoutes = 4096
@@ -26,30 +32,37 @@
 	maxRetryAfterShare = 1.0 / 3
 )
 
-// callerTimeouts learns the timeout with which the callers of each route begin: the
-// longest timeout of the current and the previous period.
+// callerTimeouts learns the usual timeout with which the callers of each route begin, as a
+// quantile of the timeouts of its requests.
 type callerTimeouts struct {
-	mu          sync.Mutex
-	periodStart time.Time
-	longest     map[string]time.Duration
-	previous    map[string]time.Duration // of the period before
+	mu    sync.Mutex
+	usual map[string]time.Duration // by route
 }
 
-func newCallerTimeouts() *callerTimeouts { return &callerTimeouts{longest: map[string]time.Duration{}} }
+func newCallerTimeouts() *callerTimeouts { return &callerTimeouts{usual: map[string]time.Duration{}} }
 
-// elapsed returns how much of its timeout a caller with a remaining time has used in
-// earlier attempts. A remaining time that is the longest of its route lately is recorded,
-// and counts as a first attempt.
-func (c *callerTimeouts) elapsed(now time.Time, route string, remaining time.Duration) time.Duration {
+// elapsed returns how much of its timeout a caller with a remaining time has probably used
+// in earlier attempts, and takes the remaining time into account for later ones.
+func (c *callerTimeouts) elapsed(route string, remaining time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.periodStart) >= callerTimeoutPeriod || len(c.longest) >= maxTrackedRoutes {
-		c.previous, c.longest, c.periodStart = c.longest, map[string]time.Duration{}, now
+	usual, known := c.usual[route]
+	if !known {
+		if len(c.usual) >= maxTrackedRoutes {
+			c.usual = map[string]time.Duration{}
+		}
+		usual = remaining
 	}
-	if remaining > c.longest[route] {
-		c.longest[route] = remaining
+	adjustment := timeoutAdjustment * (usualTimeoutQuantile - 1)
+	if remaining > usual {
+		adjustment = timeoutAdjustment * usualTimeoutQuantile
 	}
-	return max(c.longest[route], c.previous[route]) - remaining
+	c.usual[route] = usual + time.Duration(adjustment*float64(usual))
+	if float64(remaining) >= firstAttemptShare*float64(usual) {
+		return 0
+	}
+	// The caller began with a timeout between firstAttemptShare and all of the usual one.
+	return time.Duration((1+firstAttemptShare)/2*float64(usual)) - remaining
 }
 
 // retryAfter returns the time after which the caller of a refused request should retry.
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -249,7 +249,7 @@
 	if !c.beginRequest() {
 		return false
 	}
-	p := &pendingReply{method: req.Method, done: make(chan struct{}), closeAfter: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load()}
+	p := &pendingReply{method: req.Method, done: make(chan struct{}), closeAfter: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load() || c.server.isCrowded()}
 	c.server.inFlight.Add(1)
 	c.pipeline <- p
 	go c.handle(p, newRequest(req, body))
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -259,3 +260,71 @@
 	require.Equal(t, "GET /2 ", body)
 	require.True(t, resp.Close)
 }
+
+// Connections beyond a bound are closed after their next reply, which announces it, so that
+// callers that retry on new connections do not use up all descriptors.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(echo)
+		var open []net.Conn
+		for range maxKeptConns + 50 {
+			nc, served := net.Pipe()
+			s.startConn(served)
+			open = append(open, nc)
+		}
+		closed := 0
+		for _, nc := range open {
+			go func() { _, _ = io.WriteString(nc, get("/1")) }()
+			resp, body := readResponse(t, bufio.NewReader(nc))
+			require.Equal(t, "GET /1 ", body)
+			if resp.Close {
+				closed++
+			}
+			synctest.Wait()
+		}
+		require.Equal(t, 50, closed)
+		s.mu.Lock()
+		kept := len(s.conns)
+		s.mu.Unlock()
+		require.Equal(t, maxKeptConns, kept)
+		for _, nc := range open {
+			_ = nc.Close()
+		}
+		s.wg.Wait()
+	})
+}
+
+// failingListener fails to accept a connection twice before it accepts one, and then is
+// closed.
+type failingListener struct {
+	net.Listener
+	results []error
+	conn    net.Conn
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.results) == 0 {
+		return nil, net.ErrClosed
+	}
+	err := l.results[0]
+	l.results = l.results[1:]
+	if err != nil {
+		return nil, err
+	}
+	return l.conn, nil
+}
+
+// A lack of descriptors does not end the server.
+func TestAcceptContinuesAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nc, served := net.Pipe()
+		emfile := &net.OpError{Op: "accept", Err: syscall.EMFILE}
+		s := New(echo)
+		s.Serve(&failingListener{results: []error{emfile, emfile, nil}, conn: served})
+		go func() { _, _ = io.WriteString(nc, get("/1")) }()
+		_, body := readResponse(t, bufio.NewReader(nc))
+		require.Equal(t, "GET /1 ", body)
+		_ = nc.Close()
+		s.wg.Wait()
+	})
+}
