dispatch: the best of a random sample of targets; full targets last

Change: a node compares a random sample, six targets of its zone and three of others, and all of them only if none of the sample is expected to accept the request. A target that is expected to refuse comes after the others from the first attempt on. TestNodesDoNotCrowdOneTarget and TestFullTargetsAreTriedLast, red before.

--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -49,8 +49,13 @@
 	// skipAfterRefusals is the number of refusals because of a full queue after which
 	// targets that are expected to refuse too are skipped.
 	skipAfterRefusals = 2
-	permille          = 1000
-	kilobyte          = 1024
+	// sameZoneSample and otherZoneSample are the numbers of targets, of this zone and of the
+	// others, among which the best one is selected. If all nodes chose among all targets,
+	// they would all send to the same few, whose loads look best until the next report.
+	sameZoneSample  = 6
+	otherZoneSample = 3
+	permille        = 1000
+	kilobyte        = 1024
 	// sizeSmoothing is the weight of a new sample in the exponentially weighted mean
 	// size of a route's bodies.
 	sizeSmoothing = 0.05
@@ -118,13 +123,8 @@
 }
 
 // expectsRefusal reports whether a target is expected to refuse the request, given its
-// run time, its wait and the age of the load from which these are estimated. The first
-// targets are tried in any case, because the load may be outdated and the estimate
-// ignores ranks.
+// run time, its wait and the age of the load from which these are estimated.
 func (r *Requirements) expectsRefusal(runTime, wait, loadAge time.Duration) bool {
-	if r.Refusals < skipAfterRefusals {
-		return false
-	}
 	allowed, _ := r.maxWait(runTime)
 	return wait-loadAge > allowed
 }
@@ -148,39 +148,101 @@
 	Skipped int
 }
 
-// Select returns the candidate with the lowest cost that was not tried, and counts a
-// request as sent to it. It returns false if there is none.
+// Select returns the candidate with the lowest cost, of a random sample of those that were
+// not tried, and counts a request as sent to it. Candidates that are expected to refuse
+// come last, and are left out after skipAfterRefusals: the first of them are tried, because
+// the load may be outdated and the estimate ignores ranks. Select returns false if there
+// is none.
 func (s *Selector) Select(now time.Time, req Requirements, candidates []Candidate, tried map[string]bool) (Selection, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best Selection
-	var target *targetState
-	skipped, lowest := 0, 0.0
+	sample := s.sampling(candidates)
+	c := comparison{now: now, req: &req}
 	for i := range candidates {
-		c := &candidates[i]
-		if tried[c.Addr] || req.SameZoneOnly && c.Zone != s.zone {
-			continue
-		}
-		t := s.state(now, c)
-		if now.Before(t.backoffUntil) {
-			continue
+		if sample.includes(&candidates[i]) {
+			s.compare(&c, &candidates[i], tried)
 		}
-		expected := t.estimate(now, req.LatencyObjective)
-		if req.expectsRefusal(expected.RunTime, expected.QueueTime, now.Sub(t.loadAt)) {
-			skipped++
-			continue
+	}
+	if c.accepting.target == nil && !sample.isAll() {
+		c = comparison{now: now, req: &req}
+		for i := range candidates {
+			s.compare(&c, &candidates[i], tried)
 		}
-		if cost := s.cost(now, t, c, &req, &expected); target == nil || cost < lowest {
-			best, target, lowest = expected, t, cost
-			best.Candidate = *c
+	}
+	best := &c.accepting
+	if best.target == nil && req.Refusals < skipAfterRefusals {
+		best = &c.refusing
+	}
+	best.selection.Skipped = c.skipped
+	if best.target == nil {
+		return best.selection, false
+	}
+	best.target.recordSent(now)
+	return best.selection, true
+}
+
+// option is the best one of the candidates that were compared.
+type option struct {
+	selection Selection
+	target    *targetState // nil if there is none
+	cost      float64
+}
+
+// comparison compares candidates for one request.
+type comparison struct {
+	now                 time.Time
+	req                 *Requirements
+	accepting, refusing option // those expected to accept and to refuse the request
+	skipped             int    // those expected to refuse
+}
+
+// compare adds a candidate to a comparison unless it is excluded. The lock is held.
+func (s *Selector) compare(c *comparison, candidate *Candidate, tried map[string]bool) {
+	if tried[candidate.Addr] || c.req.SameZoneOnly && candidate.Zone != s.zone {
+		return
+	}
+	t := s.state(c.now, candidate)
+	if c.now.Before(t.backoffUntil) {
+		return
+	}
+	expected := t.estimate(c.now, c.req.LatencyObjective)
+	best := &c.accepting
+	if c.req.expectsRefusal(expected.RunTime, expected.QueueTime, c.now.Sub(t.loadAt)) {
+		c.skipped++
+		best = &c.refusing
+	}
+	cost := s.cost(c.now, t, candidate, c.req, &expected)
+	if best.target == nil || cost < best.cost {
+		expected.Candidate = *candidate
+		*best = option{selection: expected, target: t, cost: cost}
+	}
+}
+
+// sampling decides at random which candidates are compared.
+type sampling struct {
+	selector                       *Selector
+	sameZoneShare, otherZonesShare float64
+}
+
+// sampling returns the sampling of candidates. The lock is held.
+func (s *Selector) sampling(candidates []Candidate) sampling {
+	sameZone := 0
+	for i := range candidates {
+		if candidates[i].Zone == s.zone {
+			sameZone++
 		}
 	}
-	best.Skipped = skipped
-	if target == nil {
-		return best, false
+	return sampling{s, float64(sameZoneSample) / float64(max(sameZone, 1)), float64(otherZoneSample) / float64(max(len(candidates)-sameZone, 1))}
+}
+
+func (x *sampling) isAll() bool { return x.sameZoneShare >= 1 && x.otherZonesShare >= 1 }
+
+func (x *sampling) includes(c *Candidate) bool {
+	share := x.otherZonesShare
+	if c.Zone == x.selector.zone {
+		share = x.sameZoneShare
 	}
-	target.recordSent(now)
-	return best, true
+	return share >= 1 || x.selector.rng.Float64() < share
 }
 
 // cost estimates the cost of sending a request to a target now.
--- a/internal/mesh/dispatch/selector_test.go
+++ b/internal/mesh/dispatch/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 
 var (
 	epoch            = time.Unix(1000, 0)
-	testRequirements = Requirements{Route: "status", LatencyObjective: 300 * time.Millisecond, LatencyBudget: 300 * time.Millisecond}
+	testRequirements = Requirements{Route: "status", LatencyObjective: 300 * time.Millisecond, LatencyBudget: 300 * time.Millisecond, Timeout: 2 * time.Second}
 )
 
 func newTestSelector() *Selector { return NewSelector("north", rand.New(rand.NewPCG(1, 2))) }
@@ -252,3 +253,44 @@
 	require.Equal(t, 2, selection.Skipped, "the number of skipped targets is logged")
 	require.NotEmpty(t, selected(2, true, 0, full, fuller), "a nested call may wait until its timeout")
 }
+
+// Many nodes that know the same loads do not all send to the target whose load looks best
+// until it is reported again.
+func TestNodesDoNotCrowdOneTarget(t *testing.T) {
+	const nodes, targets = 80, 40
+	var candidates []Candidate
+	for i := range targets {
+		zone := []string{"north", "south"}[i%2]
+		candidates = append(candidates, candidate(strconv.Itoa(i), zone, cicadaseam.MeshLoad{LatencyPermille: 600, InFlight: 2}))
+	}
+	candidates[0].Load.LatencyPermille = 300 // the best one of the zone
+	counts := map[string]int{}
+	for n := range nodes {
+		s := NewSelector("north", rand.New(rand.NewPCG(uint64(n), 1)))
+		for range 4 {
+			selection, ok := s.Select(epoch.Add(time.Millisecond), testRequirements, candidates, map[string]bool{})
+			require.True(t, ok)
+			counts[selection.Candidate.Addr]++
+			s.RecordResult(epoch.Add(time.Millisecond), selection.Candidate.Addr, 0, &cicadaseam.MeshAnswer{Load: selection.Candidate.Load})
+		}
+	}
+	require.Less(t, counts["0"], nodes*4/2, "half of all requests go to one target")
+	for i := 0; i < targets; i += 2 {
+		require.Positive(t, counts[strconv.Itoa(i)], "target %d", i)
+	}
+}
+
+// A target that is expected to refuse is tried after those that are not, and is tried at
+// all because its load may be outdated.
+func TestFullTargetsAreTriedLast(t *testing.T) {
+	s := newTestSelector()
+	full := candidate("full", "north", cicadaseam.MeshLoad{LatencyPermille: 330, InFlight: 10, Queued: 19})
+	slow := candidate("slow", "south", cicadaseam.MeshLoad{LatencyPermille: 1000})
+	require.Equal(t, "slow", selectAddr(t, s, full, slow))
+	require.Equal(t, "full", selectAddr(t, s, full))
+	refused := testRequirements
+	refused.Refusals = skipAfterRefusals
+	selection, ok := s.Select(epoch.Add(time.Millisecond), refused, []Candidate{full}, map[string]bool{})
+	require.False(t, ok)
+	require.Equal(t, 1, selection.Skipped)
+}
