dispatch: no retry of a run that failed for lack of retry budget for its calls

While all backend servers of one service reject calls, a run whose call was refused for lack of budget fails, and its retry makes the same calls again, each of which counts as a retry and takes a slot and budget from calls that could succeed. The answer of a run now says so, and it is not retried (TestWhatIsSentAgainAndWhatTheCallerHears, TestAnswerTellsOfRefusedCalls).

--- a/internal/mesh/dispatch/budget_test.go
+++ b/internal/mesh/dispatch/budget_test.go
@@ -192,7 +192,14 @@
 }
 
 // retriedOuterRun is the local target of a node whose backend server runs a retry.
-type retriedOuterRun struct{ noLocal }
+type retriedOuterRun struct {
+	noLocal
+	refusedCallsOf *[]string
+}
+
+func (r retriedOuterRun) RecordRefusedCall(id string) {
+	*r.refusedCallsOf = append(*r.refusedCallsOf, id)
+}
 
 func (retriedOuterRun) Running(id string) (running, isRetry bool) { return id == "q1", id == "q1" }
 
@@ -202,12 +209,13 @@
 	m := newFakeMesh(t, true)
 	m.add("a", ran)
 	var sent []bool
+	var refusedCallsOf []string
 	m.answers["a"] = func(call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
 		sent = append(sent, call.Retry)
 		return &ran
 	}
 	config := RetryBudgetConfig{Ratio: 0, Slack: 2, Window: 10 * time.Second}
-	d := New("self", "north", "portal", m, m, retriedOuterRun{}, m, rand.New(rand.NewPCG(1, 1)), WithRetryBudget(NewRetryBudget(time.Now().Add(-time.Minute), config)))
+	d := New("self", "north", "portal", m, m, retriedOuterRun{refusedCallsOf: &refusedCallsOf}, m, rand.New(rand.NewPCG(1, 1)), WithRetryBudget(NewRetryBudget(time.Now().Add(-time.Minute), config)))
 	serve := func(id string) int {
 		r := &Request{Method: "POST", Host: "a.example", Path: "/x/1", RequestURI: "/x/1", Header: http.Header{}, Arrived: time.Now()}
 		r.Header.Set(d.Headers.RequestID, id)
@@ -217,6 +225,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, serve("q1.2"), "half of a slack of 2 is this node's")
 	require.Equal(t, http.StatusOK, serve("q2"))
 	require.Equal(t, []bool{true, false}, sent)
+	require.Equal(t, []string{"q1"}, refusedCallsOf)
 	requests := 0.0
 	for _, b := range d.budget.services["desk"] {
 		requests += b.requests
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -105,6 +105,9 @@
 	// Running reports whether the backend server is running the request with an id, and
 	// whether that run is a retry.
 	Running(id string) (running, isRetry bool)
+	// RecordRefusedCall records that a call for the run with an id was refused for lack of
+	// retry budget.
+	RecordRefusedCall(id string)
 }
 
 // Fleet lists the other nodes.
@@ -258,6 +261,9 @@
 	reply, outcome, reason := d.tryTargets(ctx, ex)
 	stats.Outcome, stats.Reason = outcome, reason
 	stats.QueueTime, stats.BackendTime = ex.queueTime, ex.backendTime
+	if ex.nested && reason == cicadaseam.ReasonRetryBudget {
+		d.local.RecordRefusedCall(outerID(ex.call.ID))
+	}
 	return reply, stats
 }
 
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -43,6 +43,8 @@
 
 func (noLocal) Running(string) (running, isRetry bool) { return false, false }
 
+func (noLocal) RecordRefusedCall(string) {}
+
 func (noLocal) Load(time.Time) cicadaseam.MeshLoad { return cicadaseam.MeshLoad{} }
 
 func newFakeMesh(t *testing.T, idempotent bool) *fakeMesh {
@@ -77,8 +79,10 @@
 }
 
 var (
-	ran      = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, ReachedBackend: true, Status: 200, Body: []byte("done")}
-	failure  = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, ReachedBackend: true, Status: 500, Body: []byte("sealed")}
+	ran     = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, ReachedBackend: true, Status: 200, Body: []byte("done")}
+	failure = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, ReachedBackend: true, Status: 500, Body: []byte("sealed")}
+	// starved failed because a call of it was refused for lack of retry budget.
+	starved  = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeRan, ReachedBackend: true, Status: 500, CallRefused: true}
 	rejected = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, ReachedBackend: true, Reason: cicadaseam.ReasonBackendRejected}
 	full     = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonQueueFull, RetryAfter: 200 * time.Millisecond}
 	lost     = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeUnknown, ReachedBackend: true, Reason: cicadaseam.ReasonLinkLost}
@@ -106,6 +110,7 @@
 		{"idempotent: lost, then a full queue does not prove that it did not run", true, []cicadaseam.MeshAnswer{lost, full}, 502, 2},
 		{"idempotent: failed, sent again", true, []cicadaseam.MeshAnswer{failure, ran}, 200, 2},
 		{"idempotent: failed, then a full queue; the failure is passed on", true, []cicadaseam.MeshAnswer{failure, full}, 500, 2},
+		{"idempotent: failed for lack of retry budget; a retry would need more of it", true, []cicadaseam.MeshAnswer{starved, ran}, 500, 1},
 		{"idempotent: no more than two backend servers", true, []cicadaseam.MeshAnswer{failure, failure, ran}, 500, 2},
 		{"no target", true, nil, 503, 0},
 	}
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -108,11 +108,16 @@
 // so the result affects only the order in which requests run, how long this request may
 // wait, and whether it draws on the retry budget.
 func (d *Dispatcher) outerRun(id string) (nested, isRetry bool) {
-	at := strings.LastIndexByte(id, '.')
-	if at <= 0 {
+	outer := outerID(id)
+	if outer == "" {
 		return false, false
 	}
-	return d.local.Running(id[:at])
+	return d.local.Running(outer)
+}
+
+// outerID returns the id that a nested call's id extends, or "" if it extends none.
+func outerID(id string) string {
+	return id[:max(strings.LastIndexByte(id, '.'), 0)]
 }
 
 // forwardedHeaders returns the headers for the backend server. Header fields that the
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -33,6 +33,8 @@
 type runningRequest struct {
 	runs    int
 	retries int // of runs
+	// callRefused is set if a call for it was refused for lack of retry budget.
+	callRefused bool
 }
 
 // Running reports whether the request with this ID is running at the backend server, and
@@ -44,6 +46,17 @@
 	return r.runs > 0, r.retries > 0
 }
 
+// RecordRefusedCall records that a call for the request with this ID was refused for lack of
+// retry budget.
+func (t *Target) RecordRefusedCall(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.running[id]; ok {
+		r.callRefused = true
+		t.running[id] = r
+	}
+}
+
 // trackRunning adds delta to the counts of running requests with the ID and the
 // fingerprint of call.
 func (t *Target) trackRunning(s *server, call *cicadaseam.MeshCall, delta int) {
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -189,6 +189,7 @@
 	now := time.Now()
 	t.recordResult(now, s, call, answer, took)
 	answer.Load = s.load(now)
+	answer.CallRefused = t.running[call.ID].callRefused
 	if result.Err != nil && ctx.Err() == nil {
 		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.id),
 			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), logging.Error(result.Err))
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -329,3 +329,17 @@
 	require.False(t, running)
 	require.Empty(t, target.running)
 }
+
+// The answer of a run says that one of its calls was refused for lack of retry budget.
+func TestAnswerTellsOfRefusedCalls(t *testing.T) {
+	s := newFakeServer(t)
+	target := newTarget(s)
+	answers := make(chan *cicadaseam.MeshAnswer)
+	go func() { answers <- target.Run(context.Background(), request("q")) }()
+	require.Eventually(t, func() bool { return s.running.Load() == 1 }, 2*time.Second, time.Millisecond)
+	target.RecordRefusedCall("q")
+	target.RecordRefusedCall("another")
+	close(s.release)
+	require.True(t, (<-answers).CallRefused)
+	require.False(t, target.Run(context.Background(), request("q")).CallRefused)
+}
--- a/mesh.go
+++ b/mesh.go
@@ -205,6 +205,9 @@
 	QueueTime   time.Duration
 	BackendTime time.Duration
 	Load        MeshLoad
+	// CallRefused is set if a call that the backend server made for the run was refused for
+	// lack of retry budget. A retry of the run would need more of that budget.
+	CallRefused bool
 }
 
 // MeshLoad is the load that a target reports.
