target: log each header field that a backend server sends for the first time; count what is sent

The line 'new header field of the backend server' shows which signals arrive and under which name; the metric 'sent' shows the rate.

--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -184,8 +184,12 @@
 	}
 	answer := &cicadaseam.MeshAnswer{BackendTime: took, ReachedBackend: result.Sent}
 	t.setOutcome(ctx, answer, &result)
+	if result.Sent {
+		t.sent.Add(1)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.logNewFields(s, call.ID, &result)
 	now := time.Now()
 	t.recordResult(now, s, call, answer, took)
 	answer.Load = s.load(now)
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -27,6 +27,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,6 +54,7 @@
 type Target struct {
 	headers cicadaseam.MeshHeaders
 	logger  *zap.Logger
+	sent    atomic.Int64  // requests sent to the backend server
 	lease   time.Duration // protected by mu
 
 	mu       sync.Mutex
@@ -80,6 +82,8 @@
 	expiryScheduled bool
 	// runningFingerprints counts the running requests by fingerprint.
 	runningFingerprints map[uint64]int
+	// knownFields are the names of the header fields that the server has sent.
+	knownFields map[string]bool
 	// crashCount numbers the crashes, so that each has an ID of its own.
 	crashCount int
 }
@@ -208,6 +212,7 @@
 		draining:            instance.State == cicadaseam.BackendDraining,
 		warmUpUntil:         now.Add(instance.WarmUp),
 		runningFingerprints: map[uint64]int{},
+		knownFields:         map[string]bool{},
 	}
 }
 
