A backend server that says in its answers that it leaves gets no new request

Callers: a request that reaches such a backend server after it has exited fails, and a non-idempotent one cannot be tried again.

Draining counted only by announcement.

Change: the node beside the backend server takes the answer for a draining announcement: no new request, the other nodes are told at once, and the instance is recorded as departed, so that later announcements that it is ready change nothing, also at the next process of the node. If the record cannot be written, the next announcement tries again. An answer of an earlier start under the same ID does not affect the later one.

--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -139,6 +139,7 @@
 	nodes := 0
 	for _, entry := range entries {
 		if id, ok := strings.CutPrefix(entry.Key, departedPrefix); ok {
+			n.recordedDeparted.Store(id, true)
 			departed = append(departed, id)
 			continue
 		}
@@ -165,10 +166,10 @@
 		n.logger.Warn("announcement of another backend server ignored", zap.String("instance", instance.ID), zap.String("service", instance.Service), zap.String("address", instance.Addr))
 		return false
 	}
-	if instance.State == cicadaseam.BackendDraining {
+	n.target.Announce(time.Now(), instance)
+	if instance.State == cicadaseam.BackendDraining || n.target.HasDeparted(instance.ID) {
 		n.recordDeparted(instance.ID)
 	}
-	n.target.Announce(time.Now(), instance)
 	return true
 }
 
@@ -192,6 +193,9 @@
 	}
 }
 
+// instanceDeparted is called by the target when its instance says in an answer that it departs.
+func (n *Node) instanceDeparted(id string) { go n.recordDeparted(id) }
+
 // instanceChanged is called by the target when its instance changes, or the state of that
 // instance. It notifies the other nodes.
 func (n *Node) instanceChanged() { n.notifyPeers() }
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -195,13 +195,10 @@
 	if result.Sent {
 		t.sent.Add(1)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	t.recordSignals(now, s, call.ID, began, &result)
-	t.recordResult(now, s, call, answer, took)
-	answer.Load = s.load(now)
-	answer.CallRefused = t.running[call.ID].callRefused
+	if departed := t.record(s, call, answer, &result, began); departed {
+		t.onChange()
+		t.onDeparted(s.id)
+	}
 	if result.Err != nil && ctx.Err() == nil {
 		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.id),
 			zap.Stringer("outcome", answer.Outcome), zap.Duration("took", took), logging.Error(result.Err))
@@ -209,6 +206,19 @@
 	return answer
 }
 
+// record records the result of a request that was sent at a time, and completes its answer. It
+// reports whether the instance departs with it.
+func (t *Target) record(s *server, call *cicadaseam.MeshCall, answer *cicadaseam.MeshAnswer, result *upstream.Result, began time.Time) (departed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	departed = t.recordSignals(now, s, call.ID, began, result)
+	t.recordResult(now, s, call, answer, answer.BackendTime)
+	answer.Load = s.load(now)
+	answer.CallRefused = t.running[call.ID].callRefused
+	return departed
+}
+
 // setOutcome sets the outcome and the reason of an answer from the result at the
 // backend server. The zero outcome is unknown: the request may have run.
 func (t *Target) setOutcome(ctx context.Context, answer *cicadaseam.MeshAnswer, r *upstream.Result) {
--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -26,12 +26,30 @@
 }
 
 // recordSignals records what the backend server says of itself in the answer to a request that
-// was sent at a time. t.mu must be held.
-func (t *Target) recordSignals(now time.Time, s *server, requestID string, sentAt time.Time, result *upstream.Result) {
+// was sent at a time. It reports whether the instance departs with it. t.mu must be held.
+func (t *Target) recordSignals(now time.Time, s *server, requestID string, sentAt time.Time, result *upstream.Result) (departed bool) {
 	if result.Err != nil {
-		return
+		return false
 	}
 	t.logNewFields(s, requestID, result)
+	t.recordRateLimit(now, s, requestID, sentAt, result)
+	return result.Leaving && t.recordLeaving(now, s, requestID)
+}
+
+// recordLeaving marks an instance as departed that says so in the answer to a request. It
+// reports whether that is new.
+func (t *Target) recordLeaving(now time.Time, s *server, requestID string) bool {
+	if s.draining || t.server != s {
+		return false
+	}
+	t.tracker.markDeparted(now, s.id)
+	s.draining = true
+	t.logger.Info("backend server leaves", zap.String("request", requestID), zap.String("instance", s.id), zap.Int("running", s.queue.Running()), zap.Int("queued", s.queue.Waiting()))
+	return true
+}
+
+// recordRateLimit records the rate limit in the answer to a request that was sent at a time.
+func (t *Target) recordRateLimit(now time.Time, s *server, requestID string, sentAt time.Time, result *upstream.Result) {
 	perSecond, err := parseRateLimit(result.RateLimit)
 	if err != nil {
 		t.logger.Warn("invalid rate limit of the backend server ignored", zap.String("request", requestID), zap.String("instance", s.id), zap.String("value", result.RateLimit), zap.Error(err))
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -6,8 +6,8 @@
 // Target keeps track of the newest instance, admits requests to it through a
 // slot.Queue, sends them with the ID of the instance, and reports the outcome of each.
 //
-// An instance that announced that it is draining, or was withdrawn, gets no new
-// request, whatever announcement of it arrives later. Only a later start under the same
+// An instance that announced that it is draining, said so in an answer, or was withdrawn,
+// gets no new request, whatever announcement of it arrives later. Only a later start under the same
 // ID is accepted again.
 //
 // # Invariants
@@ -64,6 +64,8 @@
 	guard    Guard
 	server   *server
 	onChange func()
+	// onDeparted is called with the ID of an instance that departed by its answers.
+	onDeparted func(id string)
 }
 
 // server is the current instance with its connections, queue and statistics. Except for
@@ -103,12 +105,16 @@
 // one, and when the current one starts draining, changes its slots or crashes.
 func WithOnChange(f func()) Option { return func(t *Target) { t.onChange = f } }
 
+// WithOnDeparted sets a function that is called with the ID of an instance that says in its
+// answers that it is about to exit.
+func WithOnDeparted(f func(id string)) Option { return func(t *Target) { t.onDeparted = f } }
+
 // DefaultLease is how long an instance is used after its last announcement.
 const DefaultLease = 5 * time.Second
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(string) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -161,6 +167,13 @@
 	}
 }
 
+// HasDeparted reports whether an instance is remembered as departed.
+func (t *Target) HasDeparted(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.hasDeparted(id)
+}
+
 // Departed returns the IDs of the instances that departed and are still remembered.
 func (t *Target) Departed() []string {
 	t.mu.Lock()
--- a/internal/mesh/target/tracker.go
+++ b/internal/mesh/target/tracker.go
@@ -92,6 +92,11 @@
 	r.departed = true
 }
 
+func (t *instanceTracker) hasDeparted(id string) bool {
+	r := t.instances[id]
+	return r != nil && r.departed
+}
+
 func (t *instanceTracker) departedIDs() []string {
 	var ids []string
 	for id, r := range t.instances {
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -75,7 +75,9 @@
 	// RateLimit is the rate limit that the backend server names in the response, as it wrote
 	// it, or empty.
 	RateLimit string
-	Err       error
+	// Leaving is set when the backend server says that it is about to exit.
+	Leaving bool
+	Err     error
 }
 
 // Client sends requests to one backend server. It is safe for concurrent use.
@@ -220,7 +222,8 @@
 	if d := keepAliveTime(resp.Header.Get("Keep-Alive")); d > 0 {
 		conn.SetIdleTimeout(usableIdle(d))
 	}
-	r = Result{Status: resp.Status, Headers: http1.EndToEndHeaders(resp.Header), Body: resp.Body, RateLimit: resp.Header.Get(c.headers.RateLimit)}
+	r = Result{Status: resp.Status, Headers: http1.EndToEndHeaders(resp.Header), Body: resp.Body,
+		RateLimit: resp.Header.Get(c.headers.RateLimit), Leaving: resp.Header.Get(c.headers.Leaving) == "1"}
 	return r, resp.Header.Get(c.headers.RequestID), !resp.Close
 }
 
--- a/mesh.go
+++ b/mesh.go
@@ -132,6 +132,8 @@
 	// RateLimit is set by a backend server that takes no more than a number of requests a
 	// second, which is a decimal number. The limit ends with the first answer without it.
 	RateLimit string
+	// Leaving is set to 1 by a backend server that is about to exit. It gets no new request.
+	Leaving string
 }
 
 // DefaultMeshHeaders returns the names for deployments that define none.
@@ -144,6 +146,7 @@
 		Seal:             "Cicadaseam-Seal",
 		Rejected:         "Cicadaseam-Rejected",
 		RateLimit:        "Cicadaseam-Rate-Limit",
+		Leaving:          "Cicadaseam-Leaving",
 	}
 }
 
