target: few requests at a time until the first answer of an instance

Callers and backend servers: after a restart of its node alone, a backend server in need would get as many requests at once as it has slots, whatever limit it had named to the process before.

Cause: what answers tell is kept in memory only; the next process does not know it. Change: until the first answer of an instance, which names the limit, at most 4 requests run there, fewer than the burst that any limit allows.

--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -33,6 +33,10 @@
 	}
 	t.logNewFields(s, requestID, result)
 	t.recordRateLimit(now, s, requestID, sentAt, result)
+	if !s.answered {
+		s.answered = true
+		s.queue.SetLimit(now, s.slots())
+	}
 	return result.Leaving && t.recordLeaving(now, s, requestID)
 }
 
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -49,6 +49,10 @@
 	// minRunTime is the least time until its timeout with which a request that got a
 	// slot is still sent.
 	minRunTime = 5 * time.Millisecond
+	// unknownSlots bounds the requests that run at an instance until its first answer, which
+	// says whether it limits its request rate: this process may not have been the first to
+	// send it requests.
+	unknownSlots = 4
 )
 
 // Target runs the requests for one backend server. It is safe for concurrent use.
@@ -78,6 +82,7 @@
 	stats     stats
 	lastHeard time.Time
 	draining  bool
+	answered  bool // a request
 	// backoffUntil is when a server that refused a connection or crashed is tried again.
 	backoffUntil     time.Time
 	connectFailures  int // since the last success: connections that could not be opened
@@ -203,7 +208,7 @@
 	old := s.instance
 	s.instance = instance
 	s.lastHeard = now
-	s.queue.SetLimit(now, instance.Slots)
+	s.queue.SetLimit(now, s.slots())
 	if instance.State == cicadaseam.BackendDraining && !s.draining {
 		s.draining = true
 		return true
@@ -218,17 +223,26 @@
 		t.server.queue.RefuseAll()
 		t.server.client.Close()
 	}
-	t.server = &server{
+	s := &server{
 		id:                  instance.ID,
 		instance:            instance,
 		client:              upstream.New(instance.Addr, t.headers),
-		queue:               slot.New(instance.Slots),
 		lastHeard:           now,
 		draining:            instance.State == cicadaseam.BackendDraining,
 		warmUpUntil:         now.Add(instance.WarmUp),
 		runningFingerprints: map[uint64]int{},
 		knownFields:         map[string]bool{},
 	}
+	s.queue = slot.New(s.slots())
+	t.server = s
+}
+
+// slots returns the number of requests that may run at the server.
+func (s *server) slots() int {
+	if s.answered {
+		return s.instance.Slots
+	}
+	return min(s.instance.Slots, unknownSlots)
 }
 
 // Instance returns the current instance and whether it accepts new requests.
@@ -268,7 +282,7 @@
 	return cicadaseam.MeshLoad{
 		InFlight:        s.queue.Running(),
 		Queued:          s.queue.Waiting(),
-		Slots:           s.queue.Limit(),
+		Slots:           max(s.instance.Slots, 1),
 		LatencyPermille: s.stats.latencyPermille(now, s.warmUpUntil),
 		FailurePermille: s.stats.failurePermille(now),
 		RateLimit:       s.queue.RateLimit(now),
