An instance that starts again under its ID is used also after its node restarts

Callers: a backend server that had left and come back under the ID that it had got no work for good once its node had restarted; its slots were missing.

Cause: the memory of a departure (directory, other nodes) held the ID only, so that the next process took the later start for the one that had left.

Change: a departure is the ID and the start time, wherever it is kept and sent.

--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -17,7 +17,7 @@
 
 // Key prefixes of the directory: nodePrefix is followed by the name of a node,
 // departedPrefix by the ID of an instance that announced that it is draining or that was
-// withdrawn.
+// withdrawn. Its value is the start time of the instance.
 const (
 	nodePrefix     = "node/"
 	departedPrefix = "left/"
@@ -50,6 +50,9 @@
 	Zone string
 }
 
+// departureRecord is the record of a departed instance in the directory.
+type departureRecord struct{ StartUnixMilli int64 }
+
 // join writes the record of this node to the directory and then reads those of the
 // others, until it succeeds or ctx ends. Because every node writes before it reads, of
 // two nodes that start at the same time at least the later reader finds the other.
@@ -97,7 +100,7 @@
 		return false
 	}
 	data, err := n.bulkPool.Request(ctx, addr, method.Departed, payload)
-	var departed []string
+	var departed []cicadaseam.Departure
 	if err == nil {
 		err = method.Decode(data, &departed)
 	}
@@ -135,12 +138,17 @@
 // applyDirectory adds the addresses of the nodes in the directory to the fleet and marks
 // the departed instances. It skips records that cannot be decoded.
 func (n *Node) applyDirectory(entries []cicadaseam.DirectoryEntry) {
-	var departed []string
+	var departed []cicadaseam.Departure
 	nodes := 0
 	for _, entry := range entries {
 		if id, ok := strings.CutPrefix(entry.Key, departedPrefix); ok {
-			n.recordedDeparted.Store(id, true)
-			departed = append(departed, id)
+			var record departureRecord
+			if err := pack.Unmarshal(entry.Value, &record); err != nil {
+				n.logger.Warn("departure without its start time", zap.String("key", entry.Key), logging.Error(err))
+			}
+			d := cicadaseam.Departure{ID: id, StartUnixMilli: record.StartUnixMilli}
+			n.recordedDeparted.Store(d, true)
+			departed = append(departed, d)
 			continue
 		}
 		var record nodeRecord
@@ -167,8 +175,12 @@
 		return false
 	}
 	n.target.Announce(time.Now(), instance)
-	if instance.State == cicadaseam.BackendDraining || n.target.HasDeparted(instance.ID) {
-		n.recordDeparted(instance.ID)
+	d, departed := n.target.Departure(instance.ID)
+	if !departed && instance.State == cicadaseam.BackendDraining {
+		d = cicadaseam.Departure{ID: instance.ID, StartUnixMilli: instance.StartUnixMilli}
+	}
+	if d.ID != "" {
+		n.recordDeparted(d)
 	}
 	return true
 }
@@ -176,25 +188,31 @@
 // Withdraw handles the withdrawal of an instance.
 func (r *Registrar) Withdraw(id string) {
 	r.node.target.Withdraw(time.Now(), id)
-	r.node.recordDeparted(id)
+	d, _ := r.node.target.Departure(id)
+	r.node.recordDeparted(d)
 }
 
 // recordDeparted writes to the directory, once for each instance, that an instance
 // departed, so that this node rejects a delayed announcement of it even after a restart.
-func (n *Node) recordDeparted(id string) {
-	if _, recorded := n.recordedDeparted.LoadOrStore(id, true); recorded {
+func (n *Node) recordDeparted(d cicadaseam.Departure) {
+	if _, recorded := n.recordedDeparted.LoadOrStore(d, true); recorded {
+		return
+	}
+	value, err := pack.Marshal(&departureRecord{StartUnixMilli: d.StartUnixMilli})
+	if err != nil {
+		n.logger.Error("departure not encoded", zap.String("instance", d.ID), logging.Error(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordDepartedTimeout)
 	defer cancel()
-	if err := n.platform.Directory.Put(ctx, departedPrefix+id, []byte{1}); err != nil {
-		n.recordedDeparted.Delete(id) // the next announcement retries
-		n.logger.Warn("cannot record the departed instance in the directory", zap.String("instance", id), logging.Error(err))
+	if err := n.platform.Directory.Put(ctx, departedPrefix+d.ID, value); err != nil {
+		n.recordedDeparted.Delete(d) // the next announcement retries
+		n.logger.Warn("cannot record the departed instance in the directory", zap.String("instance", d.ID), logging.Error(err))
 	}
 }
 
 // instanceDeparted is called by the target when its instance says in an answer that it departs.
-func (n *Node) instanceDeparted(id string) { go n.recordDeparted(id) }
+func (n *Node) instanceDeparted(d cicadaseam.Departure) { go n.recordDeparted(d) }
 
 // instanceChanged is called by the target when its instance changes, or the state of that
 // instance. It notifies the other nodes.
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -111,7 +111,7 @@
 	leaving          atomic.Bool
 	refusingCalls    atomic.Bool
 	joined           atomic.Bool
-	recordedDeparted sync.Map // IDs of the instances recorded as departed in the directory
+	recordedDeparted sync.Map // of cicadaseam.Departure; those recorded in the directory
 	wg               sync.WaitGroup
 }
 
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 )
@@ -268,10 +269,10 @@
 func TestLeavingIsRememberedForTheNextProcess(t *testing.T) {
 	f, _ := newFleet()
 	b := heartbeat("a", 1, 1)
-	b.Departed = []string{"i-1"}
+	b.Departed = []cicadaseam.Departure{{ID: "i-1", StartUnixMilli: 5}}
 	f.HandleHeartbeat(start, b)
 	f.HandleHeartbeat(start.Add(time.Second), heartbeat("a", 2, 1))
-	require.Equal(t, []string{"i-1"}, f.Departed("a"))
+	require.Equal(t, b.Departed, f.Departed("a"))
 	require.Empty(t, f.Departed("b"))
 }
 
--- a/internal/mesh/fleet/heartbeat.go
+++ b/internal/mesh/fleet/heartbeat.go
@@ -52,10 +52,10 @@
 	// Serving is set while the backend server accepts requests.
 	Serving bool
 	Load    cicadaseam.MeshLoad
-	// Departed are the IDs of the instances of the node's backend server that announced
+	// Departed are the instances of the node's backend server that announced
 	// that they are draining, or were withdrawn. Other nodes remember them for the next
 	// process at this address.
-	Departed []string
+	Departed []cicadaseam.Departure
 	// Marks are requests that crashed backend servers.
 	Marks []cicadaseam.CrashMark
 	// SentAt is the sender's monotonic clock, as of transit.Now, when the heartbeat was
--- a/internal/mesh/fleet/peers.go
+++ b/internal/mesh/fleet/peers.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
@@ -25,7 +27,8 @@
 	// silentRounds counts the heartbeats that came due while the address was silent for
 	// long.
 	silentRounds int
-	departed     map[string]bool // instance IDs, as reported by any process at the address
+	// departed are the departures that processes at the address reported, by instance ID.
+	departed map[string]cicadaseam.Departure
 	// fullDue is the number of full heartbeats that the address still gets before it
 	// may get compact ones.
 	fullDue int
@@ -48,32 +51,30 @@
 
 // addDeparted remembers departed instances. When maxDeparted are known, it starts over with
 // an empty set.
-func (e *entry) addDeparted(ids []string) {
-	for _, id := range ids {
+func (e *entry) addDeparted(list []cicadaseam.Departure) {
+	for _, d := range list {
 		if e.departed == nil || len(e.departed) >= maxDeparted {
-			e.departed = map[string]bool{}
+			e.departed = map[string]cicadaseam.Departure{}
+		}
+		if known, ok := e.departed[d.ID]; !ok || d.StartUnixMilli > known.StartUnixMilli {
+			e.departed[d.ID] = d
 		}
-		e.departed[id] = true
 	}
 }
 
 // Departed returns the instances that the node at an address reported as departed.
-func (f *Fleet) Departed(addr string) []string {
+func (f *Fleet) Departed(addr string) []cicadaseam.Departure {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[addr]
 	if e == nil {
 		return nil
 	}
-	return e.departedIDs()
+	return e.departures()
 }
 
-func (e *entry) departedIDs() []string {
-	out := make([]string, 0, len(e.departed))
-	for id := range e.departed {
-		out = append(out, id)
-	}
-	return out
+func (e *entry) departures() []cicadaseam.Departure {
+	return slices.Collect(maps.Values(e.departed))
 }
 
 // expire forgets addresses that have been silent for forgetAfter, and removes silent
--- a/internal/mesh/fleet/query.go
+++ b/internal/mesh/fleet/query.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		hb := e.peer.Heartbeat
-		hb.Departed = e.departedIDs()
+		hb.Departed = e.departures()
 		hb.Marks, hb.SentAt, hb.Known = nil, 0, false // those were true of another datagram
 		out = append(out, hb)
 	}
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -197,7 +197,7 @@
 	}
 	if departed := t.record(s, call, answer, &result, began); departed {
 		t.onChange()
-		t.onDeparted(s.id)
+		t.onDeparted(s.departure())
 	}
 	if result.Err != nil && ctx.Err() == nil {
 		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.id),
--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
 )
 
@@ -40,13 +41,17 @@
 	return result.Leaving && t.recordLeaving(now, s, requestID)
 }
 
+func (s *server) departure() cicadaseam.Departure {
+	return cicadaseam.Departure{ID: s.id, StartUnixMilli: s.instance.StartUnixMilli}
+}
+
 // recordLeaving marks an instance as departed that says so in the answer to a request. It
 // reports whether that is new.
 func (t *Target) recordLeaving(now time.Time, s *server, requestID string) bool {
 	if s.draining || t.server != s {
 		return false
 	}
-	t.tracker.markDeparted(now, s.id)
+	t.tracker.markDeparted(now, s.departure())
 	s.draining = true
 	t.logger.Info("backend server leaves", zap.String("request", requestID), zap.String("instance", s.id), zap.Int("running", s.queue.Running()), zap.Int("queued", s.queue.Waiting()))
 	return true
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -68,8 +68,8 @@
 	guard    Guard
 	server   *server
 	onChange func()
-	// onDeparted is called with the ID of an instance that departed by its answers.
-	onDeparted func(id string)
+	// onDeparted is called with an instance that departed by its answers.
+	onDeparted func(cicadaseam.Departure)
 }
 
 // server is the current instance with its connections, queue and statistics. Except for
@@ -110,16 +110,16 @@
 // one, and when the current one starts draining, changes its slots or crashes.
 func WithOnChange(f func()) Option { return func(t *Target) { t.onChange = f } }
 
-// WithOnDeparted sets a function that is called with the ID of an instance that says in its
-// answers that it is about to exit.
-func WithOnDeparted(f func(id string)) Option { return func(t *Target) { t.onDeparted = f } }
+// WithOnDeparted sets a function that is called with an instance that says in its answers that
+// it is about to exit.
+func WithOnDeparted(f func(cicadaseam.Departure)) Option { return func(t *Target) { t.onDeparted = f } }
 
 // DefaultLease is how long an instance is used after its last announcement.
 const DefaultLease = 5 * time.Second
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(string) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(cicadaseam.Departure) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -157,11 +157,15 @@
 	}
 }
 
-// Withdraw marks an instance as departed: it gets no new request.
+// Withdraw marks the latest start under an ID as departed: it gets no new request.
 func (t *Target) Withdraw(now time.Time, id string) {
+	t.markDeparted(now, cicadaseam.Departure{ID: id})
+}
+
+func (t *Target) markDeparted(now time.Time, d cicadaseam.Departure) {
+	id := d.ID
 	t.mu.Lock()
-	t.tracker.markDeparted(now, id)
-	changed := t.server != nil && t.server.instance.ID == id && !t.server.draining
+	changed := t.tracker.markDeparted(now, d) && t.server != nil && t.server.instance.ID == id && !t.server.draining
 	if changed {
 		t.server.draining = true
 	}
@@ -172,24 +176,25 @@
 	}
 }
 
-// HasDeparted reports whether an instance is remembered as departed.
-func (t *Target) HasDeparted(id string) bool {
+// Departure returns the departure of the latest start under an ID, and false if that has not
+// departed.
+func (t *Target) Departure(id string) (cicadaseam.Departure, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.tracker.hasDeparted(id)
+	return t.tracker.departure(id)
 }
 
-// Departed returns the IDs of the instances that departed and are still remembered.
-func (t *Target) Departed() []string {
+// Departed returns the departures that are still remembered.
+func (t *Target) Departed() []cicadaseam.Departure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.tracker.departedIDs()
+	return t.tracker.departures()
 }
 
 // MarkDeparted marks instances as departed that did so before this process started.
-func (t *Target) MarkDeparted(now time.Time, ids []string) {
-	for _, id := range ids {
-		t.Withdraw(now, id)
+func (t *Target) MarkDeparted(now time.Time, list []cicadaseam.Departure) {
+	for _, d := range list {
+		t.markDeparted(now, d)
 	}
 }
 
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -71,7 +71,7 @@
 // announcement says that it is ready.
 func TestDepartedInstanceIsNotUsed(t *testing.T) {
 	target := New(headers)
-	target.MarkDeparted(epoch, []string{"a"})
+	target.MarkDeparted(epoch, []cicadaseam.Departure{{ID: "a"}})
 	target.Announce(epoch, ready("a", 7, 0))
 	_, serving := target.Instance(epoch)
 	require.False(t, serving)
--- a/internal/mesh/target/tracker.go
+++ b/internal/mesh/target/tracker.go
@@ -81,30 +81,40 @@
 	return announceNew
 }
 
-// markDeparted records that an instance departed, even if it never announced itself.
-func (t *instanceTracker) markDeparted(now time.Time, id string) {
-	r := t.instances[id]
+// markDeparted records that an instance departed, even if it never announced itself. It reports
+// false if another start under the same ID has announced itself since.
+func (t *instanceTracker) markDeparted(now time.Time, d cicadaseam.Departure) bool {
+	r := t.instances[d.ID]
 	if r == nil {
 		t.evictOldest("")
-		r = &record{latest: cicadaseam.Instance{ID: id}, lastHeard: now}
-		t.instances[id] = r
+		r = &record{latest: cicadaseam.Instance{ID: d.ID, StartUnixMilli: d.StartUnixMilli}, lastHeard: now}
+		t.instances[d.ID] = r
+	}
+	if d.StartUnixMilli > 0 && d.StartUnixMilli < r.latest.StartUnixMilli {
+		return false
 	}
 	r.departed = true
+	return true
 }
 
-func (t *instanceTracker) hasDeparted(id string) bool {
+// departure returns the departure of an instance ID, and false if its latest start has not
+// departed.
+func (t *instanceTracker) departure(id string) (cicadaseam.Departure, bool) {
 	r := t.instances[id]
-	return r != nil && r.departed
+	if r == nil || !r.departed {
+		return cicadaseam.Departure{}, false
+	}
+	return cicadaseam.Departure{ID: id, StartUnixMilli: r.latest.StartUnixMilli}, true
 }
 
-func (t *instanceTracker) departedIDs() []string {
-	var ids []string
-	for id, r := range t.instances {
-		if r.departed {
-			ids = append(ids, id)
+func (t *instanceTracker) departures() []cicadaseam.Departure {
+	var out []cicadaseam.Departure
+	for id := range t.instances {
+		if d, departed := t.departure(id); departed {
+			out = append(out, d)
 		}
 	}
-	return ids
+	return out
 }
 
 // evictOldest makes room for one more instance: when the tracker is full, it forgets
--- a/mesh.go
+++ b/mesh.go
@@ -113,6 +113,14 @@
 	return x.Sequence > o.Sequence
 }
 
+// Departure says that an instance is about to exit or has done so. It gets no new request. A
+// later start under the same ID is another instance.
+type Departure struct {
+	ID string
+	// StartUnixMilli is the start time of the instance, or 0 if it is not known.
+	StartUnixMilli int64
+}
+
 // MeshHeaders holds the names of the header fields that callers, nodes and backend servers
 // use. Each deployment defines its own names.
 type MeshHeaders struct {
