A store that comes back from an older copy (sidecar)

In a drill the store loses what it acknowledged in the last seconds and gives its offsets out again. The sidecar took an acknowledged write as lasting and an offset as naming one record for ever.

Positions: an epoch and an offset, wherever they are kept, sent or compared. A reader that is answered in another epoch than that of its position starts with the newest document, since it may have missed what was written below its offset (TestReaderMissesNothingThatIsWrittenBelowItsOffset; without the check it stayed at revision 4 of 10).

Revisions: the number in force never falls.

A full heartbeat has 3 to 8 bytes more, so one of 40 is full while nothing changes, of 32 before.

--- a/internal/command/sidecarcli/sidecarcli.go
+++ b/internal/command/sidecarcli/sidecarcli.go
@@ -16,6 +16,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -27,6 +28,7 @@
 
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/sidecar"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/epoch"
 	"github.com/cicadaseam/cicadaseam/platform"
 )
 
@@ -93,10 +95,12 @@
 	defer log.Close()
 	logger := log.With(zap.String("node", settings.Name))
 	meter := sidecar.NewMeter()
-	store := platform.NewStore(settings.StoreAddr, meter.ObserveStoreCall)
+	epochs := epoch.New(rand.Float64)
+	store := platform.NewStore(settings.StoreAddr, meter.ObserveStoreCall, platform.WithOnEpoch(sidecar.ObserveEpoch(epochs)))
 	p := sidecar.Platform{
 		Source:             store,
 		Directory:          store,
+		Epochs:             epochs,
 		Headers:            platform.Headers(),
 		NewRegistryHandler: func(r *sidecar.Registrar) http.Handler { return platform.NewRegistryHandler(r, logger) },
 	}
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -39,6 +39,12 @@
 	departedQueryPeriod  = 100 * time.Millisecond
 	departedQueryTimeout = 300 * time.Millisecond
 	departedQueryPeers   = 3
+	// departedQueryTime bounds how long a node that joined through the directory goes on asking.
+	departedQueryTime = 10 * time.Second
+	// awaitDepartedTime bounds the time for which a node delays its readiness until a peer has
+	// answered, and awaitDepartedPeriod is the time between two looks for peers.
+	awaitDepartedTime   = 400 * time.Millisecond
+	awaitDepartedPeriod = 10 * time.Millisecond
 	// recordDepartedTimeout bounds how long the acknowledgement of a draining or
 	// withdrawn instance waits for the directory.
 	recordDepartedTimeout = 300 * time.Millisecond
@@ -61,6 +67,7 @@
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		err := n.tryJoin(ctx, &written)
 		if err == nil {
+			n.awaitDeparted(ctx)
 			n.joined.Store(true)
 			n.fleet.NotifyAll()
 			return
@@ -75,20 +82,47 @@
 // remember which instances at that address departed.
 func (n *Node) joinThroughPeers(ctx context.Context) {
 	wait.Sleep(ctx, peerJoinDelay)
-	for !n.joined.Load() && wait.Sleep(ctx, departedQueryPeriod) {
-		answered := 0
-		for _, p := range n.fleet.Peers() {
-			if answered < departedQueryPeers && n.fetchDeparted(ctx, p.Heartbeat.Addr) {
-				answered++
-			}
+	until := time.Now().Add(departedQueryTime)
+	for !n.joined.Load() || !n.departedKnown.Load() && time.Now().Before(until) {
+		if !wait.Sleep(ctx, departedQueryPeriod) {
+			return
 		}
-		if answered > 0 && n.syncer.Table() != nil {
+		answered := n.queryDeparted(ctx)
+		if answered > 0 && !n.joined.Load() && n.syncer.Table() != nil {
 			n.joined.Store(true)
 			n.logger.Info("joined through peers", zap.Int("asked", answered))
 		}
 	}
 }
 
+// queryDeparted asks a few peers for the departed instances of this node's backend server, which
+// the directory has lost if the store was restored since. It returns how many answered.
+func (n *Node) queryDeparted(ctx context.Context) (answered int) {
+	asked := 0
+	for _, p := range n.fleet.Peers() {
+		if asked == 2*departedQueryPeers || answered == departedQueryPeers {
+			break
+		}
+		asked++
+		if n.fetchDeparted(ctx, p.Heartbeat.Addr) {
+			answered++
+		}
+	}
+	if answered > 0 {
+		n.departedKnown.Store(true)
+	}
+	return answered
+}
+
+// awaitDeparted waits a moment for the first peer to tell the departed instances, if the
+// directory has other nodes.
+func (n *Node) awaitDeparted(ctx context.Context) {
+	until := time.Now().Add(awaitDepartedTime)
+	for n.fleet.Size() > 1 && n.queryDeparted(ctx) == 0 && time.Now().Before(until) && wait.Sleep(ctx, awaitDepartedPeriod) {
+		continue
+	}
+}
+
 // fetchDeparted asks a peer for the departed instances of this node's backend server and
 // marks them. It reports whether the peer answered.
 func (n *Node) fetchDeparted(ctx context.Context, addr string) bool {
@@ -118,13 +152,15 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	if !*written {
-		value, err := pack.Marshal(&nodeRecord{Addr: n.settings.peerAddr(), Zone: n.settings.Zone})
+		entry, err := n.nodeEntry()
 		if err != nil {
 			return err
 		}
-		if err := n.platform.Directory.Put(ctx, nodePrefix+n.settings.Name, value); err != nil {
+		epoch, err := n.platform.Directory.Put(ctx, entry)
+		if err != nil {
 			return err
 		}
+		n.platform.Epochs.Written(time.Now(), epoch, true)
 		*written = true
 	}
 	entries, err := n.platform.Directory.List(ctx)
@@ -198,17 +234,20 @@
 	if _, recorded := n.recordedDeparted.LoadOrStore(d, true); recorded {
 		return
 	}
-	value, err := pack.Marshal(&departureRecord{StartUnixMilli: d.StartUnixMilli})
+	entry, err := departureEntry(d)
 	if err != nil {
 		n.logger.Error("departure not encoded", zap.String("instance", d.ID), logging.Error(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordDepartedTimeout)
 	defer cancel()
-	if err := n.platform.Directory.Put(ctx, departedPrefix+d.ID, value); err != nil {
+	epoch, err := n.platform.Directory.Put(ctx, entry)
+	if err != nil {
 		n.recordedDeparted.Delete(d) // the next announcement retries
 		n.logger.Warn("cannot record the departed instance in the directory", zap.String("instance", d.ID), logging.Error(err))
+		return
 	}
+	n.platform.Epochs.Written(time.Now(), epoch, false)
 }
 
 // instanceDeparted is called by the target when its instance says in an answer that it departs.
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -78,7 +78,7 @@
 		n.deductDelay(&call)
 		return method.Encode(n.target.Run(ctx, &call))
 	case method.Document:
-		var have uint64
+		var have cicadaseam.RevisionID
 		if err := method.Decode(payload, &have); err != nil {
 			return nil, err
 		}
@@ -112,7 +112,7 @@
 
 // fetchUpdate asks another node for what changed since the revision have, and returns the
 // encoded update.
-func (n *Node) fetchUpdate(ctx context.Context, addr string, have uint64) ([]byte, error) {
+func (n *Node) fetchUpdate(ctx context.Context, addr string, have cicadaseam.RevisionID) ([]byte, error) {
 	payload, err := method.Encode(&have)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -41,6 +41,7 @@
 // NewMeter returns a meter without counts.
 func NewMeter() *Meter {
 	m := &Meter{registry: gometrics.NewRegistry(), replies: map[replyKey]gometrics.Counter{}, histograms: map[string]*serviceHistograms{}}
+	m.counter("records-rewritten")
 	m.counter("calls-late") // served from the start, also while it is 0
 	return m
 }
@@ -91,6 +92,9 @@
 // ObserveLateCall counts a call that was delayed in transit by lateThreshold or more.
 func (m *Meter) ObserveLateCall() { m.counter("calls-late").Inc(1) }
 
+// ObserveRewrite counts the records that were written again after a restore of the store.
+func (m *Meter) ObserveRewrite(records int) { m.counter("records-rewritten").Inc(int64(records)) }
+
 // ObserveStoreCall counts a call to the platform's store by operation and result.
 func (m *Meter) ObserveStoreCall(op, result string) { m.counter("store." + op + "." + result).Inc(1) }
 
@@ -110,8 +114,12 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
 		load := n.target.Load(now)
+		epochs := n.platform.Epochs.Counts()
 		lines := []string{
 			fmt.Sprintf("revision %d", n.syncer.Number()),
+			fmt.Sprintf("store-epoch %d", n.platform.Epochs.Epoch()),
+			fmt.Sprintf("store-epochs-older %d", epochs.Older),
+			fmt.Sprintf("store-epochs-invalid %d", epochs.Invalid),
 			fmt.Sprintf("peers %d", len(n.fleet.Peers())),
 			fmt.Sprintf("open %d", n.front.InFlight()),
 			fmt.Sprintf("slots %d", load.Slots),
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -43,6 +43,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/epoch"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
@@ -73,7 +74,9 @@
 type Platform struct {
 	Source    cicadaseam.RevisionSource
 	Directory cicadaseam.Directory
-	Headers   cicadaseam.MeshHeaders
+	// Epochs gets the epochs that the responses of the store name. It may be nil.
+	Epochs  *epoch.Tracker
+	Headers cicadaseam.MeshHeaders
 	// NewRegistryHandler returns the HTTP handler for the announcements and withdrawals
 	// of the backend server, which it passes to a Registrar.
 	NewRegistryHandler func(registrar *Registrar) http.Handler
@@ -108,9 +111,11 @@
 
 	// leaving is set at SIGTERM, and refusingCalls after the drain delay, from when on
 	// calls of other nodes are refused.
-	leaving          atomic.Bool
-	refusingCalls    atomic.Bool
-	joined           atomic.Bool
+	leaving       atomic.Bool
+	refusingCalls atomic.Bool
+	joined        atomic.Bool
+	// departedKnown is set once a peer has told which instances departed here.
+	departedKnown    atomic.Bool
 	recordedDeparted sync.Map // of cicadaseam.Departure; those recorded in the directory
 	wg               sync.WaitGroup
 }
@@ -134,6 +139,9 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	if n.platform.Epochs == nil {
+		n.platform.Epochs = epoch.New(rand.Float64) // of a store without epochs
+	}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -194,12 +202,15 @@
 // heartbeat returns the heartbeat that describes the current state of this node.
 func (n *Node) heartbeat(now time.Time) fleet.Heartbeat {
 	instance, serving := n.target.Instance(now)
+	revision := n.syncer.ID()
 	return fleet.Heartbeat{
 		Node:              n.settings.Name,
 		Addr:              n.settings.peerAddr(),
 		Zone:              n.settings.Zone,
 		Epoch:             n.epoch,
-		Revision:          n.syncer.Number(),
+		Revision:          revision.Number,
+		Written:           revision.Written,
+		SourceEpoch:       n.platform.Epochs.Epoch(),
 		Leaving:           n.leaving.Load(),
 		SourceUnavailable: n.syncer.SourceUnavailable(),
 		SourceSlow:        n.syncer.SourceSlow(),
@@ -219,7 +230,8 @@
 		n.delayEstimator.ExcessDelay(transit.Now(), transit.SenderID(hb.Addr, hb.Epoch), hb.SentAt)
 	}
 	n.guard.MergeMarks(time.Now(), hb.Marks)
-	n.syncer.ObservePeer(context.Background(), hb.Addr, hb.Revision, hb.Zone == n.settings.Zone)
+	n.platform.Epochs.Observe(time.Now(), hb.SourceEpoch, hb.Node)
+	n.syncer.ObservePeer(context.Background(), hb.Addr, cicadaseam.RevisionID{Number: hb.Revision, Written: hb.Written}, hb.Zone == n.settings.Zone)
 }
 
 // readerTask is the key of the zone task of reading the configuration source.
@@ -285,6 +297,7 @@
 	n.startTask(func() { n.syncer.Run(ctx) })
 	n.startTask(func() { n.join(ctx) })
 	n.startTask(func() { n.joinThroughPeers(ctx) })
+	n.startTask(func() { n.keepRecords(ctx) })
 	n.startTask(func() { n.front.Serve(n.listeners.calls) })
 	n.serveHTTP(n.listeners.ready, http.HandlerFunc(n.handleReady))
 	n.serveHTTP(n.listeners.registry, n.platform.NewRegistryHandler(&Registrar{node: n}))
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -48,7 +48,7 @@
 func (noLocal) Load(time.Time) cicadaseam.MeshLoad { return cicadaseam.MeshLoad{} }
 
 func newFakeMesh(t *testing.T, idempotent bool) *fakeMesh {
-	table, err := route.New(&cicadaseam.Revision{Number: 1, Routes: []cicadaseam.MeshRoute{{
+	table, err := route.New(&cicadaseam.Revision{RevisionID: cicadaseam.RevisionID{Number: 1}, Routes: []cicadaseam.MeshRoute{{
 		Name: "filing", Host: "a.example", PathPrefix: "/x/", Idempotent: idempotent, Timeout: time.Second, LatencyObjective: 400 * time.Millisecond,
 		MaxAttempts: 2, TrafficSplit: []cicadaseam.WeightedService{{Service: "desk", Weight: 1}},
 	}}})
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -68,7 +68,7 @@
 	silentSendEvery = 4
 	// fullEvery bounds the heartbeats to all nodes from one full one to the next while
 	// nothing changes. Nodes that lack one ask for it.
-	fullEvery = 32
+	fullEvery = 40
 	// initialFull is the number of full heartbeats that a discovered node gets. It is
 	// more than 1 because a datagram may be lost.
 	initialFull = 2
--- a/internal/mesh/fleet/heartbeat.go
+++ b/internal/mesh/fleet/heartbeat.go
@@ -38,8 +38,12 @@
 	// Epoch distinguishes a process from the next one at the same address.
 	Epoch    int64
 	Sequence uint64
-	// Revision is the number of the configuration in force.
+	// Revision is the number of the configuration in force, and Written where the source has
+	// it, as of the last full heartbeat.
 	Revision uint64
+	Written  cicadaseam.Position
+	// SourceEpoch is the newest epoch of the store that the node knows.
+	SourceEpoch uint64
 	// Leaving is set by a node that is about to exit.
 	Leaving bool
 	// SourceUnavailable is set while the configuration source does not answer the node.
@@ -146,8 +150,9 @@
 type peerState struct {
 	service, instance                               string
 	serving, leaving, sourceUnavailable, sourceSlow bool
+	sourceEpoch, revisionEpoch                      uint64
 }
 
 func stateOf(hb Heartbeat) peerState {
-	return peerState{hb.Service, hb.Instance, hb.Serving, hb.Leaving, hb.SourceUnavailable, hb.SourceSlow}
+	return peerState{hb.Service, hb.Instance, hb.Serving, hb.Leaving, hb.SourceUnavailable, hb.SourceSlow, hb.SourceEpoch, hb.Written.Epoch}
 }
--- a/internal/mesh/fleet/relay_test.go
+++ b/internal/mesh/fleet/relay_test.go
@@ -72,7 +72,7 @@
 
 func (sim *simulation) add(i int, zone string) {
 	n := &simulated{sim: sim, heartbeat: Heartbeat{
-		Node: fmt.Sprintf("sidecar-%s-%d", zone, i), Addr: fmt.Sprintf("10.14.%d.%d:7600", i/250, i%250), Zone: zone, Epoch: time.Now().UnixNano(), Revision: 100_000,
+		Node: fmt.Sprintf("sidecar-%s-%d", zone, i), Addr: fmt.Sprintf("10.14.%d.%d:7600", i/250, i%250), Zone: zone, Epoch: time.Now().UnixNano(), Revision: 100_000, Written: cicadaseam.Position{Epoch: 3, Offset: 100_000}, SourceEpoch: 3,
 		Service: "submission", Instance: "i-1efcfb8f35", Serving: true, SentAt: time.Hour,
 		Load: cicadaseam.MeshLoad{InFlight: 18, Queued: 200, Slots: 18, LatencyPermille: 330, FailurePermille: 10},
 	}}
--- a/internal/mesh/revision/catchup.go
+++ b/internal/mesh/revision/catchup.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 )
@@ -13,13 +14,13 @@
 // peerRevision is the latest revision that another node is known to have, and a node to
 // fetch from. That node may have an earlier revision if it was chosen for its zone.
 type peerRevision struct {
-	number   uint64
+	id       cicadaseam.RevisionID
 	addr     string // of the node to fetch from
 	sameZone bool   // whether that node is in the zone of this node
 }
 
 // UpdateSince returns the encoded update for a node that has revision have.
-func (s *Syncer) UpdateSince(have uint64) ([]byte, error) {
+func (s *Syncer) UpdateSince(have cicadaseam.RevisionID) ([]byte, error) {
 	s.mu.Lock()
 	u := s.update(have)
 	s.mu.Unlock()
@@ -28,7 +29,7 @@
 
 // update returns the deltas from a revision, or else the whole current revision. The
 // lock is held.
-func (s *Syncer) update(have uint64) *Update {
+func (s *Syncer) update(have cicadaseam.RevisionID) *Update {
 	for i := range s.deltas {
 		if s.deltas[i].From == have {
 			return &Update{Deltas: s.deltas[i:]}
@@ -48,7 +49,7 @@
 	}
 	for i := range u.Deltas {
 		d := &u.Deltas[i]
-		if d.To <= s.Number() {
+		if !d.To.After(s.ID()) {
 			continue
 		}
 		next, err := d.apply(s.Current())
@@ -62,16 +63,19 @@
 	return nil
 }
 
-// ObservePeer records the revision number of another node, and starts fetching if this
+// ObservePeer records the revision of another node, and starts fetching if this
 // node is behind. sameZone is set if the other node is in the zone of this node.
-func (s *Syncer) ObservePeer(ctx context.Context, addr string, number uint64, sameZone bool) {
-	if number <= s.Number() {
+func (s *Syncer) ObservePeer(ctx context.Context, addr string, id cicadaseam.RevisionID, sameZone bool) {
+	if !id.After(s.ID()) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if number > s.latest.number || sameZone && !s.latest.sameZone {
-		s.latest = peerRevision{number: max(number, s.latest.number), addr: addr, sameZone: sameZone}
+	if later := id.After(s.latest.id); later || sameZone && !s.latest.sameZone {
+		if !later {
+			id = s.latest.id
+		}
+		s.latest = peerRevision{id: id, addr: addr, sameZone: sameZone}
 	}
 	if s.fetching {
 		return
@@ -94,10 +98,10 @@
 	if !s.inSameZone() && (s.Number() > 0 || !s.SourceUnavailable()) {
 		s.awaitSameZone(ctx)
 	}
-	before := s.Number()
+	before := s.ID()
 	s.mu.Lock()
 	p := s.latest
-	if before >= p.number {
+	if !p.id.After(before) {
 		s.fetching = false
 		s.latest = peerRevision{}
 		s.mu.Unlock()
@@ -105,7 +109,7 @@
 	}
 	s.mu.Unlock()
 	s.fetchFrom(ctx, p)
-	if s.Number() > before {
+	if s.ID().After(before) {
 		return true
 	}
 	s.mu.Lock()
@@ -129,7 +133,7 @@
 	const interval = 50 * time.Millisecond
 	for waited := time.Duration(0); waited < otherZoneDelay && !s.inSameZone(); waited += interval {
 		s.mu.Lock()
-		done := s.table.Load() != nil && s.Number() >= s.latest.number
+		done := s.table.Load() != nil && !s.latest.id.After(s.idLocked())
 		s.mu.Unlock()
 		if done || s.Number() == 0 && s.SourceUnavailable() || !wait.Sleep(ctx, interval) {
 			return
@@ -140,11 +144,11 @@
 func (s *Syncer) fetchFrom(ctx context.Context, p peerRevision) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := s.fetch(ctx, p.addr, s.Number())
+	data, err := s.fetch(ctx, p.addr, s.ID())
 	if err == nil {
 		err = s.applyUpdate(data, p.addr)
 	}
 	if err != nil {
-		s.logger.Info("configuration not fetched", zap.String("peer", p.addr), zap.Uint64("revision", p.number), logging.Error(err))
+		s.logger.Info("configuration not fetched", zap.String("peer", p.addr), zap.Uint64("revision", p.id.Number), logging.Error(err))
 	}
 }
--- a/internal/mesh/revision/delta.go
+++ b/internal/mesh/revision/delta.go
@@ -15,8 +15,8 @@
 
 // Delta is the difference between a revision and a later one.
 type Delta struct {
-	From    uint64
-	To      uint64
+	From    cicadaseam.RevisionID
+	To      cicadaseam.RevisionID
 	Limits  cicadaseam.Limits
 	Changed []cicadaseam.MeshRoute
 	// Removed are the names of the removed routes.
@@ -32,12 +32,12 @@
 
 // BaseMismatchError reports a delta whose base is not the revision that the node has.
 type BaseMismatchError struct {
-	Have, From uint64
+	Have, From cicadaseam.RevisionID
 }
 
 // Error implements error.
 func (e *BaseMismatchError) Error() string {
-	return fmt.Sprintf("a delta from revision %d cannot be applied to revision %d", e.From, e.Have)
+	return fmt.Sprintf("a delta from revision %+v cannot be applied to revision %+v", e.From, e.Have)
 }
 
 // maxUpdate bounds an update, in bytes after decompression.
@@ -45,7 +45,7 @@
 
 // diff returns the delta between two revisions.
 func diff(old, next *cicadaseam.Revision) Delta {
-	d := Delta{From: old.Number, To: next.Number, Limits: next.Limits}
+	d := Delta{From: old.RevisionID, To: next.RevisionID, Limits: next.Limits}
 	before := routesByName(old)
 	for i := range next.Routes {
 		r := &next.Routes[i]
@@ -60,6 +60,12 @@
 	return d
 }
 
+// sameContent reports whether two revisions differ in nothing but their IDs.
+func sameContent(a, b *cicadaseam.Revision) bool {
+	d := diff(a, b)
+	return len(d.Changed)+len(d.Removed) == 0 && a.Limits == b.Limits
+}
+
 func routesByName(r *cicadaseam.Revision) map[string]*cicadaseam.MeshRoute {
 	m := make(map[string]*cicadaseam.MeshRoute, len(r.Routes))
 	for i := range r.Routes {
@@ -70,10 +76,10 @@
 
 // apply returns the revision that results from a delta. The old one is not changed.
 func (d *Delta) apply(old *cicadaseam.Revision) (*cicadaseam.Revision, error) {
-	if old == nil || old.Number != d.From {
-		have := uint64(0)
+	if old == nil || old.RevisionID != d.From {
+		var have cicadaseam.RevisionID
 		if old != nil {
-			have = old.Number
+			have = old.RevisionID
 		}
 		return nil, &BaseMismatchError{Have: have, From: d.From}
 	}
@@ -84,7 +90,7 @@
 	for i := range d.Changed {
 		replaced[d.Changed[i].Name] = true
 	}
-	next := &cicadaseam.Revision{Number: d.To, Limits: d.Limits}
+	next := &cicadaseam.Revision{RevisionID: d.To, Limits: d.Limits}
 	next.Routes = make([]cicadaseam.MeshRoute, 0, len(old.Routes)+len(d.Changed))
 	for i := range old.Routes {
 		if !replaced[old.Routes[i].Name] {
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -11,9 +11,15 @@
 // revision arrives, it is completed and validated before it is swapped in, and it is
 // swapped in only if its number is higher.
 //
+// A source that comes back from an older copy begins a new epoch. Its newest revision may then
+// be lower than the one in force, which stays. Operators may write another revision under the
+// number in force: of two with the same number and different contents, the one that was written
+// later replaces the other. Offsets are compared within an epoch only; after a change of the
+// epoch, a reader starts with the newest document again.
+//
 // # Invariants
 //
-//   - The number of the table in force only grows.
+//   - The number of the table in force never falls.
 //   - An invalid document changes nothing.
 //
 // # Usage
@@ -25,6 +31,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -68,7 +75,7 @@
 )
 
 // Fetch gets the update for a node that has revision have from the node at addr.
-type Fetch func(ctx context.Context, addr string, have uint64) ([]byte, error)
+type Fetch func(ctx context.Context, addr string, have cicadaseam.RevisionID) ([]byte, error)
 
 // Syncer holds the configuration in force and keeps it up to date. It is safe for
 // concurrent use.
@@ -124,10 +131,25 @@
 	return 0
 }
 
+// ID returns the ID of the revision in force, which is zero before there is one.
+func (s *Syncer) ID() cicadaseam.RevisionID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idLocked()
+}
+
+// idLocked is ID for a caller that holds the lock.
+func (s *Syncer) idLocked() cicadaseam.RevisionID {
+	if s.current == nil {
+		return cicadaseam.RevisionID{}
+	}
+	return s.current.RevisionID
+}
+
 // ApplyDocument applies a document of the source if its revision is later than the one
 // in force.
-func (s *Syncer) ApplyDocument(data []byte) error {
-	r, err := s.source.Decode(data)
+func (s *Syncer) ApplyDocument(d cicadaseam.Document) error {
+	r, err := s.source.Decode(d)
 	if err != nil {
 		s.logger.Warn("configuration rejected", zap.String("from", fromSource), logging.Error(err))
 		return err
@@ -149,7 +171,14 @@
 // applyRevision validates a revision and puts it in force if it is later than the
 // current one. from says in the log where it came from.
 func (s *Syncer) applyRevision(r *cicadaseam.Revision, from string) error {
-	if r.Number <= s.Number() {
+	current := s.Current()
+	if current != nil && !r.After(current.RevisionID) {
+		return nil
+	}
+	if current != nil && r.Number == current.Number && sameContent(current, r) {
+		if from != fromSource {
+			s.adoptID(current, r.RevisionID)
+		}
 		return nil
 	}
 	t, err := route.New(r)
@@ -171,7 +200,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.current
-	if old != nil && old.Number >= r.Number {
+	if old != nil && !r.After(old.RevisionID) {
 		return false
 	}
 	now := time.Now()
@@ -181,6 +210,9 @@
 	if old == nil {
 		return true
 	}
+	if r.Number == old.Number {
+		s.logger.Warn("revision replaced under its number", zap.Uint64("revision", r.Number), zap.Any("before", old.Written), zap.Any("now", r.Written))
+	}
 	s.deltas = append(s.deltas, diff(old, r))
 	if len(s.deltas) > maxDeltas {
 		s.deltas = append([]Delta(nil), s.deltas[1:]...)
@@ -188,6 +220,19 @@
 	return true
 }
 
+// adoptID gives the revision in force the ID under which other nodes have the same contents, so
+// that they do not appear to be ahead. The deltas lead to the previous ID and are dropped.
+func (s *Syncer) adoptID(current *cicadaseam.Revision, id cicadaseam.RevisionID) {
+	renamed := *current
+	renamed.RevisionID = id
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == current {
+		s.current = &renamed
+		s.deltas = nil
+	}
+}
+
 // Age returns how long the table has been in force, or 0 before there is one.
 func (s *Syncer) Age(now time.Time) time.Duration {
 	if at := s.appliedAt.Load(); at != nil {
@@ -223,7 +268,7 @@
 
 // Run follows the source until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
-	next := cicadaseam.Offset(0)
+	next := cicadaseam.Position{}
 	nextKnown := false
 	failures := 0
 	for ctx.Err() == nil {
@@ -240,10 +285,14 @@
 		}
 		nextKnown = err == nil
 		var trimmed *cicadaseam.TrimmedError
+		var changed *epochError
 		switch {
 		case err == nil:
 			s.logAvailable(failures)
 			failures = 0
+		case errors.As(err, &changed):
+			s.logger.Info("configuration source began a new epoch", zap.Uint64("epoch", changed.now), zap.Uint64("before", changed.before), zap.Uint64("revision", s.Number()))
+			wait.Sleep(ctx, coalesceDelay)
 		case !errors.As(err, &trimmed):
 			s.logUnavailable(failures, err)
 			failures++
@@ -276,16 +325,25 @@
 	}
 }
 
-// readNewest applies the newest document and returns the offset after it.
-func (s *Syncer) readNewest(ctx context.Context) (cicadaseam.Offset, error) {
+// epochError reports that documents may have been missed, because the source answered a poll in
+// another epoch than that of the position polled from.
+type epochError struct{ before, now uint64 }
+
+// Error implements error.
+func (e *epochError) Error() string {
+	return fmt.Sprintf("the source is in epoch %d, the position is of epoch %d", e.now, e.before)
+}
+
+// readNewest applies the newest document and returns the position after it.
+func (s *Syncer) readNewest(ctx context.Context) (cicadaseam.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	d, err := s.source.Newest(ctx)
 	if err != nil {
-		return 0, err
+		return cicadaseam.Position{}, err
 	}
 	s.handleDocument(d)
-	return d.NextOffset, nil
+	return d.Next, nil
 }
 
 // recordRate updates SourceSlow from the transfer of a document.
@@ -296,19 +354,23 @@
 	}
 }
 
-// poll waits for a document at an offset or later, and applies it. It returns the
-// offset to poll from next.
-func (s *Syncer) poll(ctx context.Context, from cicadaseam.Offset) (cicadaseam.Offset, error) {
+// poll waits for a document at a position or later, and applies it. It returns the
+// position to poll from next.
+func (s *Syncer) poll(ctx context.Context, from cicadaseam.Position) (cicadaseam.Position, error) {
 	bounded, cancel := context.WithTimeout(ctx, pollWait+pollGrace)
 	defer cancel()
 	d, err := s.source.LongPoll(bounded, from, pollWait)
 	if err != nil {
 		return from, err
 	}
-	if s.handleDocument(d) {
+	applied := s.handleDocument(d)
+	if d.Next.Epoch != from.Epoch && d.Next.Epoch != 0 {
+		return from, &epochError{before: from.Epoch, now: d.Next.Epoch}
+	}
+	if applied {
 		wait.Sleep(ctx, coalesceDelay)
 	}
-	return d.NextOffset, nil
+	return cicadaseam.Position{Epoch: from.Epoch, Offset: d.Next.Offset}, nil
 }
 
 // handleDocument applies the document that a call to the source returned. It returns
@@ -318,6 +380,6 @@
 	if d.Data == nil {
 		return false
 	}
-	_ = s.ApplyDocument(d.Data) // logs its error; an invalid document changes nothing
+	_ = s.ApplyDocument(d) // logs its error; an invalid document changes nothing
 	return true
 }
--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,9 +16,11 @@
 	"github.com/cicadaseam/cicadaseam"
 )
 
-// source is a RevisionSource whose documents are revision numbers.
+// source is a RevisionSource. Its documents are revision numbers, with a letter if the contents
+// differ, or empty for a record that is no revision.
 type source struct {
 	mu      sync.Mutex
+	epoch   uint64
 	log     []string
 	first   int
 	down    bool
@@ -26,7 +29,7 @@
 	changed chan struct{}
 }
 
-func newSource() *source { return &source{changed: make(chan struct{})} }
+func newSource() *source { return &source{epoch: 1, changed: make(chan struct{})} }
 
 func (s *source) write(doc string) {
 	s.mu.Lock()
@@ -36,6 +39,26 @@
 	s.changed = make(chan struct{})
 }
 
+// restore drops the records from an offset on, as a copy from before them does. It wakes no poll
+// that waits.
+func (s *source) restore(offset int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.log = s.log[:offset]
+}
+
+// document returns the last revision from an offset on. The lock is held.
+func (s *source) document(from int) cicadaseam.Document {
+	d := cicadaseam.Document{Next: cicadaseam.Position{Epoch: s.epoch, Offset: cicadaseam.Offset(len(s.log))}}
+	for i := from; i < len(s.log); i++ {
+		if s.log[i] != "" {
+			d.Data, d.Written = []byte(s.log[i]), cicadaseam.Position{Epoch: s.epoch, Offset: cicadaseam.Offset(i)}
+		}
+	}
+	return d
+}
+
 // count returns how many calls were made.
 func (s *source) count() int {
 	s.mu.Lock()
@@ -64,14 +87,10 @@
 	if s.down {
 		return cicadaseam.Document{}, &cicadaseam.UnavailableError{Op: "newest"}
 	}
-	d := cicadaseam.Document{NextOffset: cicadaseam.Offset(len(s.log))}
-	if len(s.log) > 0 {
-		d.Data = []byte(s.log[len(s.log)-1])
-	}
-	return d, nil
+	return s.document(0), nil
 }
 
-func (s *source) LongPoll(ctx context.Context, from cicadaseam.Offset, wait time.Duration) (cicadaseam.Document, error) {
+func (s *source) LongPoll(ctx context.Context, from cicadaseam.Position, wait time.Duration) (cicadaseam.Document, error) {
 	s.mu.Lock()
 	s.calls++
 	if s.hang {
@@ -80,7 +99,7 @@
 		return cicadaseam.Document{}, &cicadaseam.UnavailableError{Op: "read", Reason: ctx.Err().Error()}
 	}
 	changed := s.changed
-	if int(from) == len(s.log) && !s.down {
+	if int(from.Offset) == len(s.log) && !s.down {
 		s.mu.Unlock()
 		select {
 		case <-changed:
@@ -93,21 +112,21 @@
 	switch {
 	case s.down:
 		return cicadaseam.Document{}, &cicadaseam.UnavailableError{Op: "read"}
-	case int(from) < s.first:
+	case int(from.Offset) < s.first || int(from.Offset) > len(s.log):
 		return cicadaseam.Document{}, &cicadaseam.TrimmedError{}
-	case int(from) >= len(s.log):
-		return cicadaseam.Document{NextOffset: from}, nil
 	}
-	return cicadaseam.Document{Data: []byte(s.log[len(s.log)-1]), NextOffset: cicadaseam.Offset(len(s.log))}, nil
+	return s.document(int(from.Offset)), nil
 }
 
-func (s *source) Decode(data []byte) (*cicadaseam.Revision, error) {
-	n, err := strconv.ParseUint(string(data), 10, 64)
+func (s *source) Decode(d cicadaseam.Document) (*cicadaseam.Revision, error) {
+	digits := strings.TrimRight(string(d.Data), "abc")
+	n, err := strconv.ParseUint(digits, 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	r := &cicadaseam.Revision{Number: n, Routes: []cicadaseam.MeshRoute{{
-		Name: "r", Host: "a.example", PathPrefix: "/", Timeout: time.Second, TrafficSplit: []cicadaseam.WeightedService{{Service: "s", Weight: 1}},
+	service := "s" + strings.TrimPrefix(string(d.Data), digits)
+	r := &cicadaseam.Revision{RevisionID: cicadaseam.RevisionID{Number: n, Written: d.Written}, Routes: []cicadaseam.MeshRoute{{
+		Name: "r", Host: "a.example", PathPrefix: "/", Timeout: time.Second, TrafficSplit: []cicadaseam.WeightedService{{Service: service, Weight: 1}},
 	}}}
 	if n%10 == 9 { // an invalid one
 		r.Routes[0].TrafficSplit = nil
@@ -115,18 +134,26 @@
 	return r, nil
 }
 
-func noFetch(context.Context, string, uint64) ([]byte, error) { return nil, errors.New("no peer") }
+func noFetch(context.Context, string, cicadaseam.RevisionID) ([]byte, error) {
+	return nil, errors.New("no peer")
+}
+
+// document returns a document whose position is not known.
+func document(text string) cicadaseam.Document { return cicadaseam.Document{Data: []byte(text)} }
+
+// numbered returns the ID of a revision that document returned.
+func numbered(n uint64) cicadaseam.RevisionID { return cicadaseam.RevisionID{Number: n} }
 
 func TestNeverBackAndNeverInPart(t *testing.T) {
 	syncer := New(newSource(), noFetch)
-	require.NoError(t, syncer.ApplyDocument([]byte("5")))
+	require.NoError(t, syncer.ApplyDocument(document("5")))
 	first := syncer.Table()
-	require.NoError(t, syncer.ApplyDocument([]byte("3")))
-	require.NoError(t, syncer.ApplyDocument([]byte("5")))
-	require.Error(t, syncer.ApplyDocument([]byte("19")))
-	require.Error(t, syncer.ApplyDocument([]byte("garbage")))
+	require.NoError(t, syncer.ApplyDocument(document("3")))
+	require.NoError(t, syncer.ApplyDocument(document("5")))
+	require.Error(t, syncer.ApplyDocument(document("19")))
+	require.Error(t, syncer.ApplyDocument(document("garbage")))
 	require.Same(t, first, syncer.Table())
-	require.NoError(t, syncer.ApplyDocument([]byte("7")))
+	require.NoError(t, syncer.ApplyDocument(document("7")))
 	require.Equal(t, uint64(7), syncer.Number())
 }
 
@@ -178,23 +205,23 @@
 		s.setDown(true)
 		var asked atomic.Value
 		other := New(newSource(), noFetch)
-		require.NoError(t, other.ApplyDocument([]byte("4")))
-		syncer := New(s, func(_ context.Context, addr string, have uint64) ([]byte, error) {
+		require.NoError(t, other.ApplyDocument(document("4")))
+		syncer := New(s, func(_ context.Context, addr string, have cicadaseam.RevisionID) ([]byte, error) {
 			asked.Store(addr)
 			return other.UpdateSince(have)
 		})
 		go syncer.Run(t.Context())
 		time.Sleep(time.Second)
 		require.True(t, syncer.SourceUnavailable())
-		syncer.ObservePeer(t.Context(), "far", 4, false)
+		syncer.ObservePeer(t.Context(), "far", numbered(4), false)
 		time.Sleep(time.Millisecond)
 		// Without a table and the source, it does not wait for a node of its own zone.
 		require.Equal(t, uint64(4), syncer.Number())
-		require.NoError(t, other.ApplyDocument([]byte("5")))
-		syncer.ObservePeer(t.Context(), "far", 5, false)
+		require.NoError(t, other.ApplyDocument(document("5")))
+		syncer.ObservePeer(t.Context(), "far", numbered(5), false)
 		time.Sleep(otherZoneDelay / 2)
 		require.Equal(t, uint64(4), syncer.Number())
-		syncer.ObservePeer(t.Context(), "near", 5, true)
+		syncer.ObservePeer(t.Context(), "near", numbered(5), true)
 		time.Sleep(otherZoneDelay)
 		require.Equal(t, "near", asked.Load())
 		require.Equal(t, uint64(5), syncer.Number())
@@ -225,8 +252,8 @@
 }
 
 func TestDeltasLeadToTheSameRevision(t *testing.T) {
-	old := &cicadaseam.Revision{Number: 3, Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("b", 1), routeNamed("c", 1)}}
-	next := &cicadaseam.Revision{Number: 8, Limits: cicadaseam.Limits{MaxBodyBytes: 5}, Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("c", 2), routeNamed("d", 1)}}
+	old := &cicadaseam.Revision{RevisionID: numbered(3), Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("b", 1), routeNamed("c", 1)}}
+	next := &cicadaseam.Revision{RevisionID: numbered(8), Limits: cicadaseam.Limits{MaxBodyBytes: 5}, Routes: []cicadaseam.MeshRoute{routeNamed("a", 1), routeNamed("c", 2), routeNamed("d", 1)}}
 	d := diff(old, next)
 	require.Len(t, d.Changed, 2)
 	require.Equal(t, []string{"b"}, d.Removed)
@@ -246,16 +273,16 @@
 	syncer := New(newSource(), noFetch)
 	behind := New(newSource(), noFetch)
 	for n := 1; n <= 60; n++ {
-		_ = syncer.ApplyDocument([]byte(strconv.Itoa(n))) // each tenth is invalid
+		_ = syncer.ApplyDocument(document(strconv.Itoa(n))) // each tenth is invalid
 		if n == 55 {
-			require.NoError(t, behind.ApplyDocument([]byte("55")))
+			require.NoError(t, behind.ApplyDocument(document("55")))
 		}
 	}
-	require.Len(t, syncer.update(55).Deltas, 4)
-	require.NotNil(t, syncer.update(0).Full)
-	require.NotNil(t, syncer.update(3).Full)
+	require.Len(t, syncer.update(numbered(55)).Deltas, 4)
+	require.NotNil(t, syncer.update(numbered(0)).Full)
+	require.NotNil(t, syncer.update(numbered(3)).Full)
 	for _, x := range []*Syncer{behind, New(newSource(), noFetch)} {
-		data, err := syncer.UpdateSince(x.Number())
+		data, err := syncer.UpdateSince(x.ID())
 		require.NoError(t, err)
 		require.NoError(t, x.applyUpdate(data, "peer"))
 		require.Equal(t, uint64(60), x.Number())
@@ -318,3 +345,79 @@
 		require.Equal(t, x.want, syncer.SourceSlow())
 	}
 }
+
+// After a restore, offsets are given out again. A reader that goes on at its old offset would miss
+// what was written below it.
+func TestReaderMissesNothingThatIsWrittenBelowItsOffset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		for _, doc := range []string{"1", "2", "3", "4"} {
+			s.write(doc)
+		}
+		syncer := New(s, noFetch)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go syncer.Run(ctx)
+		for round := range 2 { // two restores in a row, the second without any poll in between
+			time.Sleep(time.Second)
+			s.restore(2)
+			if round == 1 {
+				s.restore(1)
+			}
+			s.write(strconv.Itoa(10 + round))
+			for range 6 {
+				s.write("")
+			}
+			time.Sleep(time.Second)
+			require.Equal(t, uint64(10+round), syncer.Number())
+		}
+	})
+}
+
+func TestRevisionsUnderOneNumberAreToldApart(t *testing.T) {
+	at := func(text string, epoch uint64, offset cicadaseam.Offset) cicadaseam.Document {
+		return cicadaseam.Document{Data: []byte(text), Written: cicadaseam.Position{Epoch: epoch, Offset: offset}}
+	}
+	for _, tt := range []struct {
+		name string
+		docs []cicadaseam.Document
+		want string
+	}{
+		{"later epoch", []cicadaseam.Document{at("5", 1, 7), at("5b", 2, 4)}, "sb"},
+		{"late answer of an older epoch", []cicadaseam.Document{at("5b", 2, 4), at("5", 1, 7)}, "sb"},
+		{"same epoch", []cicadaseam.Document{at("5", 2, 4), at("5b", 2, 6), at("5", 2, 4)}, "sb"},
+		{"lower number of a later epoch", []cicadaseam.Document{at("5", 1, 7), at("4b", 2, 8)}, "s"},
+		{"older number of the copy, then written again", []cicadaseam.Document{at("5", 1, 7), at("4", 2, 5), at("6b", 2, 6)}, "sb"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			syncer := New(newSource(), noFetch)
+			for _, d := range tt.docs {
+				require.NoError(t, syncer.ApplyDocument(d))
+			}
+			require.Equal(t, tt.want, syncer.Current().Routes[0].TrafficSplit[0].Service)
+		})
+	}
+}
+
+// Nodes that have the same number with other contents never get a delta on top of these.
+func TestPeersAgreeAfterARevisionWasReplacedUnderItsNumber(t *testing.T) {
+	ahead, behind := New(newSource(), noFetch), New(newSource(), noFetch)
+	for i, text := range []string{"4", "5", "5b", "7b"} {
+		d := cicadaseam.Document{Data: []byte(text), Written: cicadaseam.Position{Epoch: 1 + uint64(i)/2, Offset: 9}}
+		require.NoError(t, ahead.ApplyDocument(d))
+		if i < 2 {
+			require.NoError(t, behind.ApplyDocument(d))
+		}
+		require.Equal(t, i >= 2, ahead.ID().After(behind.ID()), text)
+	}
+	data, err := ahead.UpdateSince(behind.ID())
+	require.NoError(t, err)
+	require.NoError(t, behind.applyUpdate(data, "peer"))
+	require.Equal(t, ahead.ID(), behind.ID())
+	require.True(t, sameContent(ahead.Current(), behind.Current()))
+	rewritten := *ahead.Current()
+	rewritten.Written.Epoch++
+	require.NoError(t, behind.applyRevision(&rewritten, "peer"))
+	require.Equal(t, rewritten.RevisionID, behind.ID())
+	require.Nil(t, behind.deltas)
+}
--- a/internal/mesh/route/route_test.go
+++ b/internal/mesh/route/route_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
-	table, err := New(&cicadaseam.Revision{Number: 3, Routes: []cicadaseam.MeshRoute{
+	table, err := New(&cicadaseam.Revision{RevisionID: cicadaseam.RevisionID{Number: 3}, Routes: []cicadaseam.MeshRoute{
 		meshRoute("short", "a.example", "/claims/"),
 		meshRoute("long", "a.example", "/claims/history/"),
 		meshRoute("other", "b.example", "/claims/history/"),
@@ -64,7 +64,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			bad := good
 			tt.change(&bad)
-			_, err := New(&cicadaseam.Revision{Number: 9, Routes: []cicadaseam.MeshRoute{good, bad}})
+			_, err := New(&cicadaseam.Revision{RevisionID: cicadaseam.RevisionID{Number: 9}, Routes: []cicadaseam.MeshRoute{good, bad}})
 			var invalid *InvalidRevisionError
 			require.ErrorAs(t, err, &invalid)
 			require.Equal(t, uint64(9), invalid.Revision)
--- a/mesh.go
+++ b/mesh.go
@@ -5,10 +5,42 @@
 	"time"
 )
 
+// Position names one record of a store. A store that comes back from an older copy begins a new
+// epoch, in which it gives out offsets again.
+type Position struct {
+	// Epoch is 0 if the store names none.
+	Epoch  uint64
+	Offset Offset
+}
+
+// After reports whether p was written after o.
+func (p Position) After(o Position) bool {
+	if p.Epoch != o.Epoch {
+		return p.Epoch > o.Epoch
+	}
+	return p.Offset > o.Offset
+}
+
+// RevisionID identifies a revision. After a store came back from an older copy, its operators
+// may write another revision under the same number.
+type RevisionID struct {
+	Number uint64
+	// Written is the position of the record that holds the revision.
+	Written Position
+}
+
+// After reports whether x replaces o.
+func (x RevisionID) After(o RevisionID) bool {
+	if x.Number != o.Number {
+		return x.Number > o.Number
+	}
+	return x.Written.After(o.Written)
+}
+
 // Revision is a complete, numbered version of the routing configuration. It is immutable
 // once it is applied.
 type Revision struct {
-	Number uint64
+	RevisionID
 	Routes []MeshRoute
 	Limits Limits
 }
@@ -52,8 +84,11 @@
 // Document is an encoded revision as a source returned it.
 type Document struct {
 	Data []byte
-	// NextOffset is the offset after the document, from which to poll for later ones.
-	NextOffset Offset
+	// Written is the position of the record that holds Data.
+	Written Position
+	// Next is the position from which to poll for later documents. Its epoch is that of the
+	// response.
+	Next Position
 	// TransferSize is the size in bytes of the response that held the document, and
 	// TransferTime the time from its first byte to its last.
 	TransferSize int
@@ -65,12 +100,13 @@
 type RevisionSource interface {
 	// Newest returns the newest document. Its Data is nil if there is none yet.
 	Newest(ctx context.Context) (Document, error)
-	// LongPoll waits up to wait for a document at offset from or later. Its Data is nil if
-	// none came. LongPoll returns a *TrimmedError if records at from or later are no longer
-	// retained; the caller then gets the current document from Newest.
-	LongPoll(ctx context.Context, from Offset, wait time.Duration) (Document, error)
+	// LongPoll waits up to wait for a document at from or later. Its Data is nil if none came.
+	// LongPoll returns a *TrimmedError if the source does not have the records at from; the
+	// caller then gets the current document from Newest. If the epoch of the result is another
+	// one than that of from, documents may have been missed.
+	LongPoll(ctx context.Context, from Position, wait time.Duration) (Document, error)
 	// Decode returns the revision in a document, or an error that says what is invalid.
-	Decode(data []byte) (*Revision, error)
+	Decode(d Document) (*Revision, error)
 }
 
 // DirectoryEntry is one record of a Directory.
@@ -82,7 +118,9 @@
 // Directory retains the newest value of each key indefinitely. Nodes discover each other
 // through it. Implementations are safe for concurrent use.
 type Directory interface {
-	Put(ctx context.Context, key string, value []byte) error
+	// Put writes entries, all or none. It returns the epoch of the store in which they were
+	// acknowledged, 0 if that is not known.
+	Put(ctx context.Context, entries ...DirectoryEntry) (epoch uint64, err error)
 	List(ctx context.Context) ([]DirectoryEntry, error)
 }
 
