A backend server of cicadaseam node that says in its answers that it leaves gets no new calls

The answer has the effect of the call that begins a drain. TestBackendServerOfANodeThatSaysThatItLeavesGetsNoNewWork failed: the server got new calls 2 s after it had said so.

--- a/internal/daemon/node/failure_test.go
+++ b/internal/daemon/node/failure_test.go
@@ -126,6 +126,25 @@
 	})
 }
 
+func TestBackendServerOfANodeThatSaysThatItLeavesGetsNoNewWork(t *testing.T) {
+	withFleet(t, 9, 4, func(f *fleet) {
+		leaving := f.hostsOf("status-portal")[0]
+		replies := f.startLoad(200, func(i int) reply {
+			return f.call(f.hosts[i%len(f.hosts)], "GET", "/status/claim", "passenger")
+		})
+		time.Sleep(time.Second)
+		leaving.backend.SetFaults(backend.Faults{AnswerHeader: http.Header{"Cicadaseam-Leaving": {"1"}}})
+		time.Sleep(2 * time.Second)
+		before := leaving.backend.Stats().Runs
+		time.Sleep(3 * time.Second)
+		require.Equal(t, before, leaving.backend.Stats().Runs, "new calls after 2 s")
+		for _, r := range replies() {
+			require.NoError(t, r.err)
+			require.Equal(t, 200, r.status, "%s %s", r.outcome, r.reason)
+		}
+	})
+}
+
 // A node that shuts down finishes the calls in flight and loses none.
 func TestNodeShutdownCutsNothing(t *testing.T) {
 	withFleet(t, 9, 2, func(f *fleet) {
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -200,7 +200,7 @@
 	n.writer = ledger.NewWriter(n.log, ledger.WithKeyLifetime(s.KeyLifetime), ledger.WithAppendInterval(s.LedgerAppendInterval), ledger.WithLogger(n.logger))
 	n.ledger = ledger.NewClient(n.gossip, n.pool, n.writer)
 	remote := entry.NewRemote(n.pool)
-	n.target = target.New(n.id, self.Addr, n.ledger, remote, target.WithLogger(n.logger), target.WithObserver(n))
+	n.target = target.New(n.id, self.Addr, n.ledger, remote, target.WithLogger(n.logger), target.WithObserver(n), target.WithOnLeaving(func() { n.registrar.drain() }))
 	n.recorder = burn.NewRecorder()
 	n.entry = entry.New(n.store, n.gossip, remote, n.target, n.rng(5),
 		entry.WithLogger(n.logger), entry.WithRecorder(n.recorder), entry.WithReady(n.ready))
