target: only an answer with a seal raises or ends a rate limit

An answer without one may come from something between the node and the backend server, or from another server at its address (421). It would let as many requests start at once as there are slots.

--- a/internal/base/ratelimit/ratelimit.go
+++ b/internal/base/ratelimit/ratelimit.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	if changed, err := named.Update(now, sentAt, header); changed { limiter.Set(now, named.PerSecond) }
+//	if changed, err := named.Update(now, answer); changed { limiter.Set(now, named.PerSecond) }
 //	if limiter.Take(now) { ... } // start a request
 package ratelimit
 
@@ -86,10 +86,20 @@
 	namedAt   time.Time // when the last answer that named it arrived
 }
 
-// Update applies the header field, empty if there is none, of the answer to a request that was
-// sent at a time. It reports whether the limit changed. A value that is no limit changes nothing.
-func (n *Named) Update(now, sentAt time.Time, field string) (changed bool, err error) {
-	perSecond, err := parse(field)
+// Answer is the answer of a server to one request.
+type Answer struct {
+	SentAt time.Time // of the request
+	// Field is the header field with the limit, or empty.
+	Field string
+	// Certain is set if the answer surely comes from the server. Any other one can only lower the
+	// limit.
+	Certain bool
+}
+
+// Update applies an answer that arrives now. It reports whether the limit changed. A value that
+// is no limit changes nothing.
+func (n *Named) Update(now time.Time, a Answer) (changed bool, err error) {
+	perSecond, err := parse(a.Field)
 	if err != nil {
 		return false, err
 	}
@@ -98,7 +108,7 @@
 		return false, nil
 	}
 	lower := perSecond > 0 && (n.PerSecond == 0 || perSecond < n.PerSecond)
-	if !lower && sentAt.Before(n.namedAt) {
+	if !lower && (a.SentAt.Before(n.namedAt) || !a.Certain) {
 		return false, nil
 	}
 	*n = Named{PerSecond: perSecond, namedAt: now}
--- a/internal/base/ratelimit/ratelimit_test.go
+++ b/internal/base/ratelimit/ratelimit_test.go
@@ -31,7 +31,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var n Named
 			for _, a := range tt.answers {
-				_, err := n.Update(start.Add(a.arrived), start.Add(a.sent), a.field)
+				_, err := n.Update(start.Add(a.arrived), Answer{SentAt: start.Add(a.sent), Field: a.field, Certain: true})
 				require.NoError(t, err)
 			}
 			require.Equal(t, tt.want, n.PerSecond)
--- a/internal/call/target/run.go
+++ b/internal/call/target/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
+	"github.com/cicadaseam/cicadaseam/internal/base/ratelimit"
 	"github.com/cicadaseam/cicadaseam/internal/call/runner"
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 )
@@ -43,7 +44,7 @@
 		return false
 	}
 	now, before := time.Now(), t.rateLimit.PerSecond
-	changed, err := t.rateLimit.Update(now, sentAt, result.RateLimit)
+	changed, err := t.rateLimit.Update(now, ratelimit.Answer{SentAt: sentAt, Field: result.RateLimit, Certain: true})
 	if err != nil {
 		t.logger.Warn("invalid rate limit of the backend server ignored", zap.String("request", requestID), zap.String("value", result.RateLimit), logging.Error(err))
 	}
--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
+	"github.com/cicadaseam/cicadaseam/internal/base/ratelimit"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
 )
 
@@ -47,7 +48,7 @@
 // recordRateLimit records the rate limit in the answer to a request that was sent at a time.
 func (t *Target) recordRateLimit(now time.Time, s *server, requestID string, sentAt time.Time, result *upstream.Result) {
 	before := s.rateLimit.PerSecond
-	changed, err := s.rateLimit.Update(now, sentAt, result.RateLimit)
+	changed, err := s.rateLimit.Update(now, ratelimit.Answer{SentAt: sentAt, Field: result.RateLimit, Certain: result.Sealed})
 	if err != nil {
 		t.logger.Warn("invalid rate limit of the backend server ignored", zap.String("request", requestID), zap.String("instance", s.id), zap.String("value", result.RateLimit), logging.Error(err))
 	}
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -72,6 +72,8 @@
 	// Rejected is set when the backend server says, by a header or by status 421, that it
 	// did not run the request.
 	Rejected bool
+	// Sealed is set for a response with a seal.
+	Sealed bool
 	// RateLimit is the rate limit that the backend server names in the response, as it wrote
 	// it, or empty.
 	RateLimit string
@@ -194,11 +196,10 @@
 // classify sets Rejected in the response to a request, and replaces a successful one
 // without a seal by an error.
 func (c *Client) classify(r Result) Result {
-	sealed := false
 	for _, h := range r.Headers {
 		switch h.Name {
 		case c.headers.Seal:
-			sealed = true
+			r.Sealed = true
 		case c.headers.Rejected:
 			r.Rejected = true
 		}
@@ -206,7 +207,7 @@
 	if r.Status == http.StatusMisdirectedRequest {
 		r.Rejected = true
 	}
-	if r.Status < http.StatusMultipleChoices && !sealed {
+	if r.Status < http.StatusMultipleChoices && !r.Sealed {
 		return Result{Err: ErrMissingSeal}
 	}
 	return r
