fleet: the newest departures at an address are remembered

When 64 were known, the memory started over with an empty set, so that an instance which had just departed could come back at the next process of its node. Now the ones that were not reported for the longest time go.

--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -328,3 +328,17 @@
 		})
 	}
 }
+
+// When more instances have departed at an address than are remembered, the oldest are forgotten.
+func TestNewestDeparturesAreRemembered(t *testing.T) {
+	e := &entry{}
+	for i := range 3 * maxDeparted {
+		e.addDeparted([]cicadaseam.Departure{{ID: "i-0"}, {ID: "i-" + strconv.Itoa(i)}})
+	}
+	got := e.departures()
+	require.Len(t, got, maxDeparted)
+	require.Contains(t, got, cicadaseam.Departure{ID: "i-0"}, "reported again and again")
+	for i := 3*maxDeparted - 1; i > 2*maxDeparted; i-- {
+		require.Contains(t, got, cicadaseam.Departure{ID: "i-" + strconv.Itoa(i)})
+	}
+}
--- a/internal/mesh/fleet/peers.go
+++ b/internal/mesh/fleet/peers.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -27,8 +26,9 @@
 	// silentRounds counts the heartbeats that came due while the address was silent for
 	// long.
 	silentRounds int
-	// departed are the departures that processes at the address reported, by instance ID.
-	departed map[string]cicadaseam.Departure
+	// departed are the departures that processes at the address reported, one for each instance
+	// ID, in the order in which they were last reported.
+	departed []cicadaseam.Departure
 	// fullDue is the number of full heartbeats that the address still gets before it
 	// may get compact ones.
 	fullDue int
@@ -49,16 +49,18 @@
 // maxDeparted bounds the departed instances that are remembered for an address.
 const maxDeparted = 64
 
-// addDeparted remembers departed instances. When maxDeparted are known, it starts over with
-// an empty set.
+// addDeparted remembers departed instances. When there are more than maxDeparted, it forgets those
+// that were not reported for the longest time.
 func (e *entry) addDeparted(list []cicadaseam.Departure) {
 	for _, d := range list {
-		if e.departed == nil || len(e.departed) >= maxDeparted {
-			e.departed = map[string]cicadaseam.Departure{}
-		}
-		if known, ok := e.departed[d.ID]; !ok || d.StartUnixMilli > known.StartUnixMilli {
-			e.departed[d.ID] = d
+		if i := slices.IndexFunc(e.departed, func(x cicadaseam.Departure) bool { return x.ID == d.ID }); i >= 0 {
+			d.StartUnixMilli = max(d.StartUnixMilli, e.departed[i].StartUnixMilli)
+			e.departed = slices.Delete(e.departed, i, i+1)
 		}
+		e.departed = append(e.departed, d)
+	}
+	if excess := len(e.departed) - maxDeparted; excess > 0 {
+		e.departed = slices.Delete(e.departed, 0, excess)
 	}
 }
 
@@ -73,9 +75,7 @@
 	return e.departures()
 }
 
-func (e *entry) departures() []cicadaseam.Departure {
-	return slices.Collect(maps.Values(e.departed))
-}
+func (e *entry) departures() []cicadaseam.Departure { return slices.Clone(e.departed) }
 
 // expire forgets addresses that have been silent for forgetAfter, and removes silent
 // nodes from the list of peers.
