target: a crash during a backoff is reported

Callers: a request that crashes backend servers could go on to others, since a crash was taken for known if new requests were held back at that moment, as after a connection that was refused just before the broken ones were noticed. A crash is now known by its own time, until a later request is answered or for 1 s.

TestCrashDuringABackoffIsReportedOnce failed: of two requests that ran at the crash, one was reported.

--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -80,6 +80,10 @@
 // server still listens.
 const crashProbeTimeout = 300 * time.Millisecond
 
+// crashNoticeTime is how long after a crash the requests that it broke notice it. A backend server
+// takes longer to start again.
+const crashNoticeTime = time.Second
+
 // detectLoss checks whether the backend server is still there after the connection of a
 // request broke. A server that only closed the connection still accepts new ones.
 func (t *Target) detectLoss(s *server, result *upstream.Result) {
@@ -110,7 +114,11 @@
 func (t *Target) recordCrash(s *server) {
 	t.mu.Lock()
 	now := time.Now()
-	reported := now.Before(s.backoffUntil)
+	if !s.crashedAt.IsZero() && now.Sub(s.crashedAt) < crashNoticeTime {
+		t.mu.Unlock()
+		return // another request has reported this crash
+	}
+	s.crashedAt = now
 	s.backoffUntil = now.Add(minBackoff)
 	s.queue.RefuseAll()
 	s.crashCount++
@@ -120,9 +128,6 @@
 		fingerprints = append(fingerprints, f)
 	}
 	t.mu.Unlock()
-	if reported {
-		return // another request has reported this crash, or the server was known to be down
-	}
 	t.logger.Info("backend server crashed", zap.String("crash", crash), zap.Int("running", len(fingerprints)))
 	t.guard.RecordCrash(now, crash, fingerprints)
 	t.onChange()
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -213,6 +213,9 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	departed = t.recordSignals(now, s, call.ID, began, result)
+	if result.Err == nil && began.After(s.crashedAt) {
+		s.crashedAt = time.Time{}
+	}
 	t.recordResult(now, s, call, answer, answer.BackendTime)
 	answer.Load = s.load(now)
 	answer.CallRefused = t.running[call.ID].callRefused
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -94,6 +94,8 @@
 	runningFingerprints map[uint64]int
 	// knownFields are the names of the header fields that the server has sent.
 	knownFields map[string]bool
+	// crashedAt is when a crash was noticed, until a request that was sent later is answered.
+	crashedAt time.Time
 	// crashCount numbers the crashes, so that each has an ID of its own.
 	crashCount int
 }
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -300,6 +300,42 @@
 	}
 }
 
+// A connection that is refused just before the broken ones are noticed delays new requests. The
+// crash must be reported all the same, and once.
+func TestCrashDuringABackoffIsReportedOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	crashes := &crashRecorder{}
+	target := New(headers, WithGuard(crashes))
+	x := ready("a", 1, 0)
+	x.Addr = l.Addr().String()
+	target.Announce(time.Now(), x)
+	const running = 2
+	answers := make(chan *cicadaseam.MeshAnswer, running)
+	var conns []net.Conn
+	for i := range running {
+		call := request("q" + strconv.Itoa(i))
+		call.Fingerprint = uint64(i + 1)
+		go func() { answers <- target.Run(context.Background(), call) }()
+		nc, err := l.Accept()
+		require.NoError(t, err)
+		_, err = nc.Read(make([]byte, 1024))
+		require.NoError(t, err)
+		conns = append(conns, nc)
+	}
+	target.mu.Lock()
+	target.server.backOff(time.Now().Add(time.Second))
+	target.mu.Unlock()
+	require.NoError(t, l.Close())
+	for _, nc := range conns {
+		require.NoError(t, nc.Close())
+		require.Equal(t, cicadaseam.OutcomeUnknown, (<-answers).Outcome)
+		time.Sleep(2 * minBackoff)
+	}
+	require.Len(t, crashes.fingerprints, 1)
+	require.ElementsMatch(t, []uint64{1, 2}, crashes.fingerprints[0])
+}
+
 func TestTimeoutOfARunningRequestIsUnknown(t *testing.T) {
 	target := newTarget(newFakeServer(t))
 	x := request("q")
