--- a/internal/command/benchcli/benchcli.go
+++ b/internal/command/benchcli/benchcli.go
@@ -23,12 +23,12 @@
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam/internal/bench/plan"
 	"github.com/cicadaseam/cicadaseam/internal/bench/procs"
 	"github.com/cicadaseam/cicadaseam/internal/bench/report"
+	"github.com/cicadaseam/cicadaseam/internal/command/args"
 	"github.com/cicadaseam/cicadaseam/internal/config/distribution"
 )
 
@@ -59,32 +59,15 @@
 	return "example: go build -o bin/cicadaseam ./cmd/cicadaseam && go run ./cmd/cicadabench --nodes 64 --out out"
 }
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(arguments []string, out, errOut io.Writer) int {
 	var o options
-	parser, err := arg.NewParser(arg.Config{Program: "cicadabench", Out: errOut}, &o)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	switch err := parser.Parse(args); {
-	case err == arg.ErrHelp:
-		parser.WriteHelp(out)
-		return exitDone
-	case err != nil:
-		fmt.Fprintf(errOut, "cicadabench: %v\n", err)
-		return exitUsage
+	if parser, code := args.Parse("cicadabench", arguments, &o, out, errOut); parser == nil {
+		return code
 	}
 	if problem := o.validate(); problem != "" {
 		fmt.Fprintf(errOut, "cicadabench: %s\n", problem)
-		return exitUsage
+		return args.Usage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -92,9 +75,9 @@
 	defer cancel()
 	if err := run(ctx, o, out); err != nil {
 		fmt.Fprintf(errOut, "cicadabench: %v\n", err)
-		return exitFailed
+		return args.Failed
 	}
-	return exitDone
+	return args.Done
 }
 
 // validate returns what is wrong with the options, or "" when they are valid.
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -15,14 +15,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-)
-
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/cicadaseam/cicadaseam/internal/command/args"
 )
 
 // commands holds the parsed subcommand; the other fields are nil.
@@ -86,25 +79,16 @@
 func (e *usageError) Error() string { return e.reason }
 
 // Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(arguments []string, out, errOut io.Writer) int {
 	var c commands
-	parser, err := arg.NewParser(arg.Config{Program: "cicadaseam", Out: errOut}, &c)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	switch err := parser.Parse(args); {
-	case err == arg.ErrHelp:
-		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...) // the names come from the parser, so it knows them
-		return exitDone
-	case err != nil:
-		fmt.Fprintf(errOut, "cicadaseam: %v\nuse cicadaseam --help\n", err)
-		return exitUsage
+	parser, code := args.Parse("cicadaseam", arguments, &c, out, errOut)
+	if parser == nil {
+		return code
 	}
 	cmd, ok := parser.Subcommand().(command)
 	if !ok {
 		parser.WriteHelp(errOut)
-		return exitUsage
+		return args.Usage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -114,11 +98,11 @@
 // exitCode prints the error, if any, and returns the exit code for it.
 func exitCode(err error, errOut io.Writer) int {
 	if err == nil {
-		return exitDone
+		return args.Done
 	}
 	fmt.Fprintf(errOut, "cicadaseam: %v\n", err)
 	if _, usage := err.(*usageError); usage {
-		return exitUsage
+		return args.Usage
 	}
-	return exitFailed
+	return args.Failed
 }
--- a/internal/command/sidecarcli/sidecarcli.go
+++ b/internal/command/sidecarcli/sidecarcli.go
@@ -23,22 +23,15 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
+	"github.com/cicadaseam/cicadaseam/internal/command/args"
 	"github.com/cicadaseam/cicadaseam/internal/daemon/sidecar"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/epoch"
 	"github.com/cicadaseam/cicadaseam/platform"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // sidecarGCPercent is the garbage collection percentage (GOGC) of a sidecar.
 const sidecarGCPercent = 200
 
@@ -53,28 +46,18 @@
 }
 
 // Main runs a sidecar and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(arguments []string, out, errOut io.Writer) int {
 	var a Args
-	parser, err := arg.NewParser(arg.Config{Program: "cicadasidecar", Out: errOut}, &a)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	switch err := parser.Parse(args); {
-	case err == arg.ErrHelp:
-		parser.WriteHelp(out)
-		return exitDone
-	case err != nil:
-		fmt.Fprintf(errOut, "cicadasidecar: %v\nuse cicadasidecar --help\n", err)
-		return exitUsage
+	if parser, code := args.Parse("cicadasidecar", arguments, &a, out, errOut); parser == nil {
+		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := Run(ctx, a.Settings, out); err != nil {
 		fmt.Fprintf(errOut, "cicadasidecar: %v\n", err)
-		return exitFailed
+		return args.Failed
 	}
-	return exitDone
+	return args.Done
 }
 
 // Run runs a sidecar with the settings of a file, or of the one that the platform names,
