--- a/internal/mesh/fleet/query.go
+++ b/internal/mesh/fleet/query.go
@@ -100,10 +100,11 @@
 	if f.entries[q.Addr] == nil {
 		return nil
 	}
+	timeout := f.silenceTimeout()
 	var out []Heartbeat
 	for _, id := range q.SenderIDs[:min(len(q.SenderIDs), maxQueried)] {
 		e := f.senders[id]
-		if e == nil || now.Sub(e.peer.LastHeard) > f.silenceTimeout() {
+		if e == nil || now.Sub(e.peer.LastHeard) > timeout {
 			continue
 		}
 		hb := e.peer.Heartbeat
--- a/internal/mesh/fleet/relay.go
+++ b/internal/mesh/fleet/relay.go
@@ -115,12 +115,8 @@
 	}
 	f.pending = append(f.pending, slices.Clone(message))
 	f.mu.Unlock()
-	if !urgent {
-		return
-	}
-	select {
-	case f.relayDue <- struct{}{}:
-	default: // pending is going to be passed on
+	if urgent {
+		trigger(f.relayDue)
 	}
 }
 
@@ -129,9 +125,10 @@
 	f.mu.Lock()
 	pending := f.pending
 	f.pending = nil
+	timeout := f.silenceTimeout()
 	var to []string
 	for a, e := range f.entries {
-		if f.takesBatches(e) && now.Sub(e.lastSeen()) <= f.silenceTimeout() {
+		if f.takesBatches(e) && now.Sub(e.lastSeen()) <= timeout {
 			to = append(to, a)
 		}
 	}
--- a/internal/mesh/fleet/send.go
+++ b/internal/mesh/fleet/send.go
@@ -25,20 +25,33 @@
 // triggerInitial makes Run send the first full heartbeat to the nodes that were
 // discovered.
 func (f *Fleet) triggerInitial() {
+	trigger(f.initialDue) // one that is pending covers all discovered nodes
+}
+
+// trigger fills a channel that holds one value, unless it is full.
+func trigger(due chan struct{}) {
 	select {
-	case f.initialDue <- struct{}{}:
-	default: // one is pending, and covers all discovered nodes
+	case due <- struct{}{}:
+	default:
 	}
 }
 
-// send sends a heartbeat to the nodes of a zone, or of all, directly or through relays.
-// urgent is set if the relays are to pass it on at once.
-func (f *Fleet) send(now time.Time, zone string, urgent bool) {
+// nextHeartbeat returns the next heartbeat of this node. Only Run calls it.
+func (f *Fleet) nextHeartbeat(now time.Time) Heartbeat {
 	hb := f.sample(now)
 	hb.Relays = true
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.sequence++
 	hb.Sequence = f.sequence
+	return hb
+}
+
+// send sends a heartbeat to the nodes of a zone, or of all, directly or through relays.
+// urgent is set if the relays are to pass it on at once.
+func (f *Fleet) send(now time.Time, zone string, urgent bool) {
+	hb := f.nextHeartbeat(now)
+	f.mu.Lock()
 	full := f.needsFull(zone, hb)
 	to := f.recipients(now, zone, full)
 	relays := f.relays(now, zone, urgent)
@@ -66,11 +79,8 @@
 // none yet. Nodes of which only the address is known get it from relays, if their zone has
 // any.
 func (f *Fleet) sendInitial(now time.Time) {
-	hb := f.sample(now)
-	hb.Relays = true
+	hb := f.nextHeartbeat(now)
 	f.mu.Lock()
-	f.sequence++
-	hb.Sequence = f.sequence
 	var known, unknown []string
 	for a, e := range f.entries {
 		if e.fullDue != initialFull {
