--- /dev/null
+++ b/internal/mesh/target/server.go
@@ -0,0 +1,73 @@
+package target
+
+import (
+	"time"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/ratelimit"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/slot"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
+)
+
+// server is the current instance with its connections, queue and statistics. Except for
+// id and client, which never change, it is protected by Target.mu.
+type server struct {
+	id        string              // of the instance
+	instance  cicadaseam.Instance // its latest announcement
+	client    *upstream.Client
+	queue     *slot.Queue
+	stats     stats
+	lastHeard time.Time
+	draining  bool
+	answered  bool // a request
+	// backoffUntil is when a server that refused a connection or crashed is tried again.
+	backoffUntil     time.Time
+	connectFailures  int // since the last success: connections that could not be opened
+	warmUpUntil      time.Time
+	advanceScheduled bool
+	rateLimit        ratelimit.Named
+	// runningFingerprints counts the running requests by fingerprint.
+	runningFingerprints map[uint64]int
+	// knownFields are the names of the header fields that the server has sent.
+	knownFields map[string]bool
+	// crashedAt is when a crash was noticed, until a request that was sent later is answered.
+	crashedAt time.Time
+	// crashCount numbers the crashes, so that each has an ID of its own.
+	crashCount int
+}
+
+// slots returns the number of requests that may run at the server.
+func (s *server) slots() int {
+	if s.answered {
+		return s.instance.Slots
+	}
+	return min(s.instance.Slots, unknownSlots)
+}
+
+// unavailableReason returns why a server gets no new request, or ReasonNone.
+func (s *server) unavailableReason(now time.Time, lease time.Duration) cicadaseam.Reason {
+	switch {
+	case s.draining:
+		return cicadaseam.ReasonDraining
+	case now.Sub(s.lastHeard) > lease:
+		return cicadaseam.ReasonNoTarget
+	case now.Before(s.backoffUntil):
+		return cicadaseam.ReasonBackendLost
+	}
+	return cicadaseam.ReasonNone
+}
+
+func (s *server) load(now time.Time) cicadaseam.MeshLoad {
+	return cicadaseam.MeshLoad{
+		InFlight:        s.queue.Running(),
+		Queued:          s.queue.Waiting(),
+		Slots:           max(s.instance.Slots, 1),
+		LatencyPermille: s.stats.latencyPermille(now, s.warmUpUntil),
+		FailurePermille: s.stats.failurePermille(now),
+		RateLimit:       s.queue.RateLimit(now),
+	}
+}
+
+func (s *server) departure() cicadaseam.Departure {
+	return cicadaseam.Departure{ID: s.id, StartUnixMilli: s.instance.StartUnixMilli}
+}
--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
 	"github.com/cicadaseam/cicadaseam/internal/base/ratelimit"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
@@ -29,10 +28,6 @@
 	return result.Leaving && t.recordLeaving(now, s, requestID)
 }
 
-func (s *server) departure() cicadaseam.Departure {
-	return cicadaseam.Departure{ID: s.id, StartUnixMilli: s.instance.StartUnixMilli}
-}
-
 // recordLeaving marks an instance as departed that says so in the answer to a request. It
 // reports whether that is new.
 func (t *Target) recordLeaving(now time.Time, s *server, requestID string) bool {
