--- a/internal/command/cli/call.go
+++ b/internal/command/cli/call.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := c.newRequest(ctx, body); err != nil {
+		return err
+	}
 	client := &http.Client{Timeout: c.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: c.Parallel}}
 	if c.Count == 1 {
 		return c.callOnce(ctx, client, body, s.out)
@@ -135,13 +138,13 @@
 
 // callAndCount makes one call and adds its result to the totals.
 func (c *callCommand) callAndCount(ctx context.Context, client *http.Client, body []byte, totals *callTotals) {
-	req, err := c.newRequest(ctx, body)
-	if err != nil {
-		return
-	}
 	start := time.Now()
-	resp, err := client.Do(req)
 	label := "no answer"
+	var resp *http.Response
+	req, err := c.newRequest(ctx, body)
+	if err == nil {
+		resp, err = client.Do(req)
+	}
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close() // the body was read to its end
