member: slow start counts from when a backend server became ready

Callers of cicadaseam node: a backend server that was replaced beside a long-lived node got its full share at once, cold as it was, since slow start counted from when the node was first seen. TestReadySinceFollowsTheBackendServer (with the time of the node: fails at step 4).

--- a/internal/member/detect/detect.go
+++ b/internal/member/detect/detect.go
@@ -56,6 +56,8 @@
 	member    cicadaseam.Member
 	changedAt time.Time // of the last change of member
 	firstSeen time.Time
+	// readySince is when the backend server of the member last became ready.
+	readySince time.Time
 	// suspectedAt and suspectedBy are the start of a suspicion and the ids of the members that
 	// reported it.
 	suspectedAt   time.Time
@@ -186,17 +188,25 @@
 	return out
 }
 
-// LastHeard returns the time of the last change or acknowledgement of a member, whichever is later,
-// and the time when it was first seen. Both are zero for an unknown member.
-func (d *Detector) LastHeard(id string) (lastHeard, firstSeen time.Time) {
+// Times are when something happened to a member, as this node learned of it.
+type Times struct {
+	LastHeard time.Time // last change or acknowledgement, whichever is later
+	FirstSeen time.Time
+	// ReadySince is when the backend server of the member last became ready.
+	ReadySince time.Time
+}
+
+// Times returns the times of a member, which are zero for an unknown one.
+func (d *Detector) Times(id string) Times {
 	e := d.members[id]
 	if e == nil {
-		return time.Time{}, time.Time{}
+		return Times{}
 	}
+	t := Times{LastHeard: e.changedAt, FirstSeen: e.firstSeen, ReadySince: e.readySince}
 	if e.ackedAt.After(e.changedAt) {
-		return e.ackedAt, e.firstSeen
+		t.LastHeard = e.ackedAt
 	}
-	return e.changedAt, e.firstSeen
+	return t
 }
 
 // SetBackend changes the state of the backend server that this node announces.
@@ -350,6 +360,10 @@
 func (d *Detector) setMember(now time.Time, e *entry, m cicadaseam.Member, from string) {
 	d.removeFromDigest(e.member)
 	previous := e.member.State
+	wasReady := e.member.Backend.State == cicadaseam.BackendReady
+	if m.Backend.State == cicadaseam.BackendReady && !wasReady {
+		e.readySince = now
+	}
 	e.member = m
 	e.changedAt = now
 	d.addToDigest(e.member)
--- a/internal/member/detect/failure_test.go
+++ b/internal/member/detect/failure_test.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -195,3 +196,32 @@
 	c.run(time.Minute - took)
 	c.requireTraffic(before, time.Minute)
 }
+
+// Slow start counts from when the backend server became ready, not from when its node was first
+// seen, so that a backend server that was replaced beside a long-lived node is not flooded.
+func TestReadySinceFollowsTheBackendServer(t *testing.T) {
+	start := time.Unix(1000, 0)
+	d := New(cicadaseam.Member{ID: "self", Addr: "10.0.0.1:1"}, rand.New(rand.NewPCG(1, 1)))
+	m := cicadaseam.Member{ID: "a", Addr: "10.0.0.2:1", State: cicadaseam.MemberAlive}
+	backend := cicadaseam.Backend{Service: "status-portal", Slots: 20}
+	for i, step := range []struct {
+		backend cicadaseam.BackendState
+		member  cicadaseam.MemberState
+		want    time.Duration
+	}{
+		{cicadaseam.BackendReady, cicadaseam.MemberAlive, 0},
+		{cicadaseam.BackendReady, cicadaseam.MemberSuspect, 0},
+		{cicadaseam.BackendReady, cicadaseam.MemberAlive, 0},
+		{cicadaseam.BackendDraining, cicadaseam.MemberAlive, 0},
+		{cicadaseam.BackendReady, cicadaseam.MemberAlive, 4 * time.Minute},
+		{cicadaseam.BackendNone, cicadaseam.MemberAlive, 4 * time.Minute},
+		{cicadaseam.BackendReady, cicadaseam.MemberAlive, 6 * time.Minute},
+	} {
+		m.Incarnation, m.State, m.Backend = uint64(i+1), step.member, backend
+		m.Backend.State = step.backend
+		d.Merge(start.Add(time.Duration(i)*time.Minute), []cicadaseam.Member{m})
+		times := d.Times("a")
+		require.Equal(t, start, times.FirstSeen)
+		require.Equal(t, start.Add(step.want), times.ReadySince, "step %d", i)
+	}
+}
--- a/internal/member/gossip/gossip.go
+++ b/internal/member/gossip/gossip.go
@@ -287,8 +287,8 @@
 	members := g.detector.Members()
 	out := make([]view.Peer, len(members))
 	for i, m := range members {
-		heard, first := g.detector.LastHeard(m.ID)
-		out[i] = view.Peer{Member: m, LastHeard: heard, FirstSeen: first}
+		times := g.detector.Times(m.ID)
+		out[i] = view.Peer{Member: m, LastHeard: times.LastHeard, FirstSeen: times.FirstSeen, ReadySince: times.ReadySince}
 	}
 	return out
 }
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -24,11 +24,13 @@
 	"github.com/cicadaseam/cicadaseam"
 )
 
-// Peer is another member, with the time of its last change or acknowledgement and of its discovery.
+// Peer is another member, with the times of its last change or acknowledgement and of its discovery.
 type Peer struct {
 	Member    cicadaseam.Member `json:"member"`
 	LastHeard time.Time         `json:"heard"`
 	FirstSeen time.Time         `json:"firstSeen"`
+	// ReadySince is when the backend server of the member last became ready.
+	ReadySince time.Time `json:"readySince"`
 }
 
 // View is the fleet as one node sees it. It is immutable. Peers are the members other than Self,
@@ -67,7 +69,7 @@
 		ID:         m.ID,
 		Zone:       m.Locality.Zone,
 		Region:     m.Locality.Region,
-		ReadySince: p.FirstSeen,
+		ReadySince: p.ReadySince,
 		Slots:      m.Backend.Slots,
 	}
 	v.candidates[m.Backend.Service] = append(v.candidates[m.Backend.Service], c)
