--- a/internal/call/target/run.go
+++ b/internal/call/target/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,7 +86,7 @@
 	answer := &cicadaseam.Answer{Outcome: cicadaseam.OutcomeUnknown, Reason: cicadaseam.ReasonBackendLost}
 	t.mu.Lock()
 	delete(t.runningFingerprints, slotID)
-	t.lostRequests = append(t.lostRequests, lostRequest{fingerprint: fingerprint, lostAt: time.Now()})
+	t.recordLost(time.Now(), fingerprint)
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -98,6 +99,13 @@
 	return answer
 }
 
+// recordLost records a lost request, and forgets those that a crash would no longer be blamed on.
+// t.mu must be held.
+func (t *Target) recordLost(now time.Time, fingerprint uint64) {
+	t.lostRequests = slices.DeleteFunc(t.lostRequests, func(l lostRequest) bool { return now.Sub(l.lostAt) > crashWindow })
+	t.lostRequests = append(t.lostRequests, lostRequest{fingerprint: fingerprint, lostAt: now})
+}
+
 // recordCrash marks the fingerprints of all requests that the backend server was running
 // when it crashed. It reports whether there was only one, which certainly is the cause.
 func (t *Target) recordCrash(r *runner.Runner) bool {
--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -112,7 +112,7 @@
 	lastSlotID          uint64
 	queued              map[uint64]chan admit.Decision // by slot ID
 	runningFingerprints map[uint64]uint64              // by slot ID
-	lostRequests        []lostRequest                  // since the last Attach
+	lostRequests        []lostRequest                  // of the last crashWindow, since the last Attach
 	rateLimit           ratelimit.Named                // of the backend server since the last Attach
 	crashCount          int                            // numbers the crashes in their IDs
 	inFlight            sync.WaitGroup                 // calls and void records
