--- a/embed/embed.go
+++ b/embed/embed.go
@@ -6,7 +6,8 @@
 // Implementations live under internal/ and change freely; the API of this package is stable.
 // Config is the configuration of one process: it applies the records of a log, holds an
 // immutable table of the newest accepted version, and publishes changes. It depends on nothing
-// but a log. For a complete node, with membership and calls, run cmd/cicadaseam.
+// but a log. Membership is the view of a fleet of processes that one of them has, and Admission
+// decides which requests run at a backend server. For a complete node run cmd/cicadaseam.
 //
 // # Usage
 //
@@ -15,6 +16,8 @@
 //	go cfg.Run(ctx)
 //	decision, err := cfg.Publish(ctx, change)
 //	value, _ := cfg.Setting("status-portal", "passenger", "deadline")
+//
+// examples/embed has a program for each part, in a module of its own.
 package embed
 
 import (
