Unknown states and empty unknown sections are errors

An unknown name of a member's or a backend server's state left the state as it was, and an empty section with a wrong name was not reported. TestUnknownStatesAreErrors and TestUnknownSectionsAndKeysAreProblems (empty unknown section) failed before.

--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -175,14 +175,18 @@
 
 func load(name string, f *ini.File, fields []Field) error {
 	var problems []Problem
-	known := map[string]bool{}
+	known, sections := map[string]bool{}, map[string]bool{ini.DefaultSection: true}
 	for _, field := range fields {
+		sections[field.Section] = true
 		known[field.Section+"\x00"+field.Key] = true
 		if p := field.load(f); p != "" {
 			problems = append(problems, Problem{field.Section, field.Key, p})
 		}
 	}
 	for _, s := range f.Sections() {
+		if !sections[s.Name()] && len(s.Keys()) == 0 {
+			problems = append(problems, Problem{s.Name(), "-", "unknown section"})
+		}
 		for _, k := range s.Keys() {
 			if !known[s.Name()+"\x00"+k.Name()] {
 				problems = append(problems, Problem{s.Name(), k.Name(), "unknown key"})
--- a/member.go
+++ b/member.go
@@ -1,6 +1,9 @@
 package cicadaseam
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // MemberState is the state of a member in another node's view.
 type MemberState uint8
@@ -33,14 +36,21 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s MemberState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
-// UnmarshalText implements encoding.TextUnmarshaler. An unknown name leaves s unchanged.
+// StateError reports a name that is no state of a member or of a backend server.
+type StateError struct{ Of, Name string }
+
+// Error implements error.
+func (e *StateError) Error() string { return fmt.Sprintf("%q is no state of a %s", e.Name, e.Of) }
+
+// UnmarshalText implements encoding.TextUnmarshaler. An unknown name is a *StateError.
 func (s *MemberState) UnmarshalText(text []byte) error {
 	for i, name := range memberStateNames {
 		if name == string(text) {
 			*s = MemberState(i)
+			return nil
 		}
 	}
-	return nil
+	return &StateError{Of: "member", Name: string(text)}
 }
 
 // BackendState is whether a backend server accepts requests.
@@ -68,14 +78,15 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s BackendState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
-// UnmarshalText implements encoding.TextUnmarshaler. An unknown name leaves s unchanged.
+// UnmarshalText implements encoding.TextUnmarshaler. An unknown name is a *StateError.
 func (s *BackendState) UnmarshalText(text []byte) error {
 	for _, state := range []BackendState{BackendNone, BackendReady, BackendDraining} {
 		if state.String() == string(text) {
 			*s = state
+			return nil
 		}
 	}
-	return nil
+	return &StateError{Of: "backend server", Name: string(text)}
 }
 
 // Backend is a backend server as announced to its node.
