target: nothing runs before the departures are known

Until a node has joined, its target now refuses with not-ready. Joining asks the peers, at most 0.25 s when the directory names some.

--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -43,7 +43,7 @@
 	departedQueryTime = 10 * time.Second
 	// awaitDepartedTime bounds the time for which a node delays its readiness until a peer has
 	// answered, and awaitDepartedPeriod is the time between two looks for peers.
-	awaitDepartedTime   = 400 * time.Millisecond
+	awaitDepartedTime   = 250 * time.Millisecond
 	awaitDepartedPeriod = 10 * time.Millisecond
 	// recordDepartedTimeout bounds how long the acknowledgement of a draining or
 	// withdrawn instance waits for the directory.
--- a/internal/daemon/sidecar/link_test.go
+++ b/internal/daemon/sidecar/link_test.go
@@ -19,6 +19,7 @@
 // differ by minutes.
 func TestCallThatLayOnTheLinkForTooLongIsNotRun(t *testing.T) {
 	n := newTestNode(t)
+	n.joined.Store(true)
 	ran := make(chan string, 1)
 	backend := startRecordingBackend(t, ran)
 	n.target.Announce(time.Now(), cicadaseam.Instance{ID: "i-1", Service: "s", Addr: backend, Slots: 2})
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -162,7 +162,8 @@
 	n.guard = guard.New()
 	n.delayEstimator = transit.New()
 	n.senderID = transit.SenderID(s.peerAddr(), n.epoch)
-	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted))
+	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
+		target.WithDeparturesKnown(n.joined.Load))
 	n.syncer = revision.New(n.platform.Source, n.fetchUpdate, revision.WithLogger(n.logger), revision.WithOnChange(n.revisionChanged), revision.WithIsReader(n.isReader))
 	n.fleet = fleet.New(s.peerAddr(), s.Zone, conn, n.timers, n.heartbeat, fleet.WithPeriod(s.HeartbeatPeriod), fleet.WithLogger(n.logger), fleet.WithOnHeartbeat(n.handleHeartbeat))
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -49,7 +49,7 @@
 	if s == nil || s.instance.Service != call.Service {
 		return nil, nil, &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonNoTarget}
 	}
-	if reason := s.unavailableReason(now, t.lease); reason != cicadaseam.ReasonNone {
+	if reason := t.unavailableReason(now, s); reason != cicadaseam.ReasonNone {
 		return nil, nil, refusalLocked(now, s, reason, 0)
 	}
 	if call.Timeout < s.minTimeout(call) {
--- a/internal/mesh/target/server.go
+++ b/internal/mesh/target/server.go
@@ -44,12 +44,14 @@
 	return min(s.instance.Slots, unknownSlots)
 }
 
-// unavailableReason returns why a server gets no new request, or ReasonNone.
-func (s *server) unavailableReason(now time.Time, lease time.Duration) cicadaseam.Reason {
+// unavailableReason returns why a server gets no new request, or ReasonNone. t.mu must be held.
+func (t *Target) unavailableReason(now time.Time, s *server) cicadaseam.Reason {
 	switch {
+	case !t.departuresKnown():
+		return cicadaseam.ReasonNotReady
 	case s.draining:
 		return cicadaseam.ReasonDraining
-	case now.Sub(s.lastHeard) > lease:
+	case now.Sub(s.lastHeard) > t.lease:
 		return cicadaseam.ReasonNoTarget
 	case now.Before(s.backoffUntil):
 		return cicadaseam.ReasonBackendLost
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -70,6 +70,8 @@
 	onChange func()
 	// onDeparted is called with an instance that departed by its answers.
 	onDeparted func(cicadaseam.Departure)
+	// departuresKnown reports whether the departures before the start of this process are known.
+	departuresKnown func() bool
 }
 
 // Option changes a new Target.
@@ -89,12 +91,16 @@
 // it is about to exit.
 func WithOnDeparted(f func(cicadaseam.Departure)) Option { return func(t *Target) { t.onDeparted = f } }
 
+// WithDeparturesKnown sets the function that reports whether the departures before the start of
+// this process are known. Until then no request runs, since the instance may have departed.
+func WithDeparturesKnown(f func() bool) Option { return func(t *Target) { t.departuresKnown = f } }
+
 // DefaultLease is how long an instance is used after its last announcement.
 const DefaultLease = 5 * time.Second
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(cicadaseam.Departure) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(cicadaseam.Departure) {}, departuresKnown: func() bool { return true }, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -224,7 +230,7 @@
 	if t.server == nil {
 		return cicadaseam.Instance{}, false
 	}
-	return t.server.instance, t.server.unavailableReason(now, t.lease) == cicadaseam.ReasonNone
+	return t.server.instance, t.unavailableReason(now, t.server) == cicadaseam.ReasonNone
 }
 
 // Load returns the load of the backend server, as its queue and statistics show it.
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -77,6 +77,24 @@
 	require.False(t, serving)
 }
 
+// A node that has just started may not know yet that the instance departed before.
+func TestNothingRunsBeforeTheDeparturesAreKnown(t *testing.T) {
+	var known atomic.Bool
+	target := New(headers, WithDeparturesKnown(known.Load))
+	target.Announce(epoch, ready("a", 1, 0))
+	_, serving := target.Instance(epoch)
+	require.False(t, serving)
+	answer := target.Run(context.Background(), request("q"))
+	require.Equal(t, cicadaseam.OutcomeNotRun, answer.Outcome)
+	require.Equal(t, cicadaseam.ReasonNotReady, answer.Reason)
+	target.MarkDeparted(epoch, []cicadaseam.Departure{{ID: "a"}})
+	known.Store(true)
+	require.Equal(t, cicadaseam.ReasonDraining, target.Run(context.Background(), request("q")).Reason)
+	target.Announce(epoch, ready("b", 1, 0))
+	_, serving = target.Instance(epoch)
+	require.True(t, serving)
+}
+
 // After an instance announced that it is draining, neither an older announcement that
 // arrives late nor a later one makes it ready again.
 func TestAcknowledgedLeavingBinds(t *testing.T) {
