distribution: the start of a node is no response of the log

A node that started during an outage reported the age of its own start as that of the log's last response. Its peers took the log for available, ended the backoff of their polls and polled it at once, and operators read a low age.

--- a/internal/command/cli/operate.go
+++ b/internal/command/cli/operate.go
@@ -143,7 +143,11 @@
 	if !f.Ready {
 		ready = "NOT READY"
 	}
-	fmt.Fprintf(s.out, "seen by %s at %s: %s, last response of the log %.1f s ago\n", f.Self.Name, f.At.UTC().Format(time.RFC3339), ready, f.LogAgeSeconds)
+	response := "no response of the log yet"
+	if f.LogAgeSeconds >= 0 {
+		response = fmt.Sprintf("last response of the log %.1f s ago", f.LogAgeSeconds)
+	}
+	fmt.Fprintf(s.out, "seen by %s at %s: %s, %s\n", f.Self.Name, f.At.UTC().Format(time.RFC3339), ready, response)
 	if f.Halted != "" {
 		fmt.Fprintf(s.out, "HALTED: %s\n", f.Halted)
 	}
--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -28,6 +28,7 @@
 package distribution
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -100,7 +101,7 @@
 
 	startedAt time.Time
 	// respondedAt is the time of the last response of the log, to this node or another,
-	// that this node has learned of. It starts as the time of the first tick.
+	// that this node has learned of. It is zero before the first one.
 	respondedAt time.Time
 	// peerLatest is the highest position that a peer has reported, and peerAddr the
 	// address of that peer. The address is empty after a failed fetch.
@@ -159,7 +160,6 @@
 func (s *Scheduler) Tick(now time.Time, in Input) []Action {
 	if s.startedAt.IsZero() {
 		s.startedAt = now
-		s.respondedAt = now
 	}
 	if in.Halted {
 		return nil
@@ -213,7 +213,11 @@
 	if now.Before(s.tailUntil) {
 		return true
 	}
-	if now.Sub(s.respondedAt) <= s.maxLogAge() {
+	latest := s.respondedAt
+	if latest.Before(s.startedAt) {
+		latest = s.startedAt
+	}
+	if now.Sub(latest) <= s.maxLogAge() {
 		return false
 	}
 	s.tailUntil = now.Add(s.tailPeriod)
@@ -274,7 +278,7 @@
 // ends the backoff of its polls.
 func (s *Scheduler) ObserveLogResponse(now time.Time, age time.Duration) {
 	respondedAt := now.Add(-age)
-	if !respondedAt.After(s.respondedAt) {
+	if age == UnknownLogAge || !respondedAt.After(s.respondedAt) {
 		return
 	}
 	s.respondedAt = respondedAt
@@ -288,10 +292,13 @@
 	}
 }
 
-// LogAge returns the time since the last known response of the log.
+// UnknownLogAge is the age of the log at a node that has learned of no response of it.
+const UnknownLogAge time.Duration = math.MaxInt64
+
+// LogAge returns the time since the last known response of the log, or UnknownLogAge.
 func (s *Scheduler) LogAge(now time.Time) time.Duration {
 	if s.respondedAt.IsZero() {
-		return 0
+		return UnknownLogAge
 	}
 	return now.Sub(s.respondedAt)
 }
--- a/internal/daemon/api/api.go
+++ b/internal/daemon/api/api.go
@@ -31,7 +31,7 @@
 	// if it does.
 	Halted string `json:"halted,omitempty"`
 	// LogAgeSeconds is the time in seconds since the last response of the log that Self
-	// has learned of.
+	// has learned of. It is negative if there was none.
 	LogAgeSeconds float64 `json:"ageOfLogSeconds"`
 }
 
--- a/internal/daemon/node/metrics.go
+++ b/internal/daemon/node/metrics.go
@@ -1,10 +1,9 @@
 package node
 
 import (
-	"time"
-
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/metrics"
+	"github.com/cicadaseam/cicadaseam/internal/config/distribution"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 )
 
@@ -29,7 +28,7 @@
 		}
 		return 0
 	})
-	s.Gauge("config.log-age-ms", func() int64 { return int64(n.feed.Status().Age / time.Millisecond) })
+	s.Gauge("config.log-age-ms", n.logAgeMillis)
 	c := n.feed.Counters()
 	s.Gauge("config.log-reads", c.LogReads.Load)
 	s.Gauge("config.log-errors", c.LogErrors.Load)
@@ -120,3 +119,13 @@
 	}
 	return count
 }
+
+// logAgeMillis returns the time since the last known response of the log in milliseconds, or -1 if
+// none is known.
+func (n *Node) logAgeMillis() int64 {
+	age := n.feed.Status().Age
+	if age == distribution.UnknownLogAge {
+		return -1
+	}
+	return age.Milliseconds()
+}
--- a/internal/daemon/node/operator.go
+++ b/internal/daemon/node/operator.go
@@ -123,7 +123,7 @@
 func (n *Node) getFleet(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	v := n.gossip.View()
-	f := api.Fleet{At: now, Ready: n.ready(), LogAgeSeconds: n.feed.Status().Age.Seconds()}
+	f := api.Fleet{At: now, Ready: n.ready(), LogAgeSeconds: float64(n.logAgeMillis()) / 1000}
 	if h := n.store.Halted(); h != nil {
 		f.Halted = h.Error()
 	}
