--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -100,7 +100,7 @@
 func (n *Node) queryDeparted(ctx context.Context) (answered int) {
 	asked := 0
 	for _, p := range n.fleet.Peers() {
-		if asked == 2*departedQueryPeers || answered == departedQueryPeers {
+		if asked == 2*departedQueryPeers || answered == departedQueryPeers || ctx.Err() != nil {
 			break
 		}
 		asked++
@@ -117,8 +117,9 @@
 // awaitDeparted waits a moment for the first peer to tell the departed instances, if the
 // directory has other nodes.
 func (n *Node) awaitDeparted(ctx context.Context) {
-	until := time.Now().Add(awaitDepartedTime)
-	for n.fleet.Size() > 1 && n.queryDeparted(ctx) == 0 && time.Now().Before(until) && wait.Sleep(ctx, awaitDepartedPeriod) {
+	ctx, cancel := context.WithTimeout(ctx, awaitDepartedTime)
+	defer cancel()
+	for n.fleet.Size() > 1 && n.queryDeparted(ctx) == 0 && wait.Sleep(ctx, awaitDepartedPeriod) {
 		continue
 	}
 }
--- a/internal/daemon/sidecar/link_test.go
+++ b/internal/daemon/sidecar/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
 )
 
@@ -59,3 +61,21 @@
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
+
+// Peers whose links hang must not delay the start of a node: it is not ready before.
+func TestPeersThatDoNotAnswerDelayTheStartOnlyForAMoment(t *testing.T) {
+	n := newTestNode(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.bulkPool.Run(ctx)
+	for range 2 * departedQueryPeers {
+		l, err := net.Listen("tcp", "127.0.0.1:0") // connections are accepted by the kernel only
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		n.fleet.HandleHeartbeat(time.Now(), fleet.Heartbeat{Node: l.Addr().String(), Addr: l.Addr().String(), Zone: "z", Epoch: 1, Sequence: 1})
+	}
+	require.Len(t, n.fleet.Peers(), 2*departedQueryPeers)
+	began := time.Now()
+	n.awaitDeparted(ctx)
+	require.Less(t, time.Since(began), 4*awaitDepartedTime)
+}
--- a/internal/daemon/sidecar/page_test.go
+++ b/internal/daemon/sidecar/page_test.go
@@ -24,7 +24,7 @@
 
 // newTestNode returns a node that listens on loopback and is not started.
 func newTestNode(t *testing.T) *Node {
-	s := Settings{Name: "n", Zone: "z", Service: "s", BackendLease: time.Second}
+	s := Settings{Name: "n", Zone: "z", Service: "s", BackendLease: time.Second, HeartbeatPeriod: time.Second}
 	for _, addr := range []*string{&s.CallAddr, &s.ReadyAddr, &s.RegistryAddr, &s.LinkAddr} {
 		*addr = "127.0.0.1:0"
 	}
