--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -195,9 +195,9 @@
 	if result.Sent {
 		t.sent.Add(1)
 	}
-	if departed := t.record(s, call, answer, &result, began); departed {
+	if d, departed := t.record(s, call, answer, &result, began); departed {
 		t.onChange()
-		t.onDeparted(s.departure())
+		t.onDeparted(d)
 	}
 	if result.Err != nil && ctx.Err() == nil {
 		t.logger.Info("backend server failed", zap.String("request", call.ID), zap.String("instance", s.id),
@@ -207,8 +207,8 @@
 }
 
 // record records the result of a request that was sent at a time, and completes its answer. It
-// reports whether the instance departs with it.
-func (t *Target) record(s *server, call *cicadaseam.MeshCall, answer *cicadaseam.MeshAnswer, result *upstream.Result, began time.Time) (departed bool) {
+// returns the departure of the instance if the instance departs with it.
+func (t *Target) record(s *server, call *cicadaseam.MeshCall, answer *cicadaseam.MeshAnswer, result *upstream.Result, began time.Time) (d cicadaseam.Departure, departed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -219,7 +219,7 @@
 	t.recordResult(now, s, call, answer, answer.BackendTime)
 	answer.Load = s.load(now)
 	answer.CallRefused = t.running[call.ID].callRefused
-	return departed
+	return s.departure(), departed
 }
 
 // setOutcome sets the outcome and the reason of an answer from the result at the
