embed: one timer for all requests that wait

Each waiting request had a ticker of its own that advanced the whole queue, so that the work grew with the square of the requests that wait. Behaviour and tests as before.

--- a/embed/admission.go
+++ b/embed/admission.go
@@ -13,8 +13,9 @@
 // Admission decides which requests run at one backend server, which wait for a slot and which are
 // refused. It is safe for concurrent use. All requests to the backend server must go through it.
 type Admission struct {
-	mu    sync.Mutex
-	queue *slot.Queue
+	mu               sync.Mutex
+	queue            *slot.Queue
+	advanceScheduled bool
 }
 
 // NewAdmission returns an Admission for a backend server that runs a number of requests at once.
@@ -56,6 +57,9 @@
 	if a.queue.Running() < a.queue.Limit() {
 		reason = cicadaseam.ReasonRateLimit
 	}
+	if decision == slot.Queued {
+		a.scheduleAdvance()
+	}
 	a.mu.Unlock()
 	switch decision {
 	case slot.Started:
@@ -63,23 +67,36 @@
 	case slot.Refused:
 		return nil, &RefusedError{Reason: reason, RetryAfter: wait}
 	}
-	tick := time.NewTicker(advancePeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case admitted := <-req.Admitted:
-			if !admitted {
-				return nil, &RefusedError{Reason: cicadaseam.ReasonQueueTimeout, RetryAfter: a.estimateWait(req.Rank)}
-			}
-			return a.releaseOnce(), nil
-		case now := <-tick.C:
-			a.mu.Lock()
-			a.queue.Advance(now)
-			a.mu.Unlock()
-		case <-ctx.Done():
-			a.leave(req)
-			return nil, &RefusedError{Reason: cicadaseam.ReasonCanceled}
+	select {
+	case admitted := <-req.Admitted:
+		if !admitted {
+			return nil, &RefusedError{Reason: cicadaseam.ReasonQueueTimeout, RetryAfter: a.estimateWait(req.Rank)}
 		}
+		return a.releaseOnce(), nil
+	case <-ctx.Done():
+		a.leave(req)
+		return nil, &RefusedError{Reason: cicadaseam.ReasonCanceled}
+	}
+}
+
+// scheduleAdvance arranges that the queue is advanced for as long as it is not empty. The lock is
+// held.
+func (a *Admission) scheduleAdvance() {
+	if a.advanceScheduled {
+		return
+	}
+	a.advanceScheduled = true
+	time.AfterFunc(advancePeriod, a.advance)
+}
+
+// advance refuses the requests that have waited too long and starts those that now may.
+func (a *Admission) advance() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advanceScheduled = false
+	a.queue.Advance(time.Now())
+	if a.queue.Waiting() > 0 {
+		a.scheduleAdvance()
 	}
 }
 
