slot: the estimated wait leaves out the slots that higher priorities use

Cause: a request of a low priority was admitted by the work ahead of it alone.

Change: the wait is computed with the slots that the classes above have left over the last 2 s. What they use is recorded for all requests, not only for those of customers.

--- a/internal/mesh/slot/share.go
+++ b/internal/mesh/slot/share.go
@@ -117,6 +117,20 @@
 	return max(left, minShare*slots)
 }
 
+// slotsFor returns the slots that serve the requests of a rank: those that higher classes, whose
+// requests keep arriving, leave to it.
+func (q *Queue) slotsFor(now time.Time, rank int) float64 {
+	if rank == RankNested {
+		return float64(q.limit)
+	}
+	left := float64(q.limit) - max(float64(q.nested.slots), q.classes[0].used.slots(now, classWindow))
+	index, _ := classOf(rank)
+	for i := 1; i < index; i++ {
+		left -= q.classes[i].used.slots(now, classWindow)
+	}
+	return max(left, minShare*float64(q.limit))
+}
+
 // recordDemand records that a request asks for a slot, and decides whether its class is contended.
 // That begins with a request that would have to wait too long behind all others of its rank, and
 // ends contentionTime after the class last asked for contentionLoad of its slots.
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -13,7 +13,8 @@
 // slower requests than expected, may still make the wait too long; then the request
 // is refused when its wait ends. Requests wait in order of rank and, within a rank,
 // of deadline. Only the requests of higher ranks, and those of the same rank with a
-// deadline that is not later, count as ahead of a request.
+// deadline that is not later, count as ahead of a request. The slots that higher classes have
+// used lately are not counted on, because their requests keep arriving.
 //
 // Customers share the slots of a priority class fairly, by the time for which their requests
 // occupy a slot. While a class asks for more slots than there are, its requests wait in order of
@@ -41,7 +42,7 @@
 //	q := slot.New(18)
 //	switch decision, wait := q.Admit(now, request); decision { ... }
 //	q.Release(now, took) // starts queued requests through their Admitted channels
-//	q.Settle(now, request) // if requests have customers
+//	q.Settle(now, request) // corrects the slots that a class is known to use
 //	q.Advance(now)       // periodically, while requests wait
 package slot
 
@@ -111,8 +112,6 @@
 	nested      reservation
 	// outerRunTime is the mean run time of the requests that are not nested.
 	outerRunTime time.Duration
-	// hasCustomers is set once a request had a customer. The use of slots is recorded from then on.
-	hasCustomers bool
 }
 
 // initialRunTime is the assumed mean run time before any request has run.
@@ -175,13 +174,9 @@
 	if q.mayStart(rank) && (ahead.requests == 0 || q.rate.IsSet()) {
 		return wait
 	}
-	limit := q.limit
-	if rank != RankNested {
-		limit = q.outerLimit()
-	}
 	// The running requests are expected to free one slot within the mean run time
 	// divided by the number of slots.
-	return max(wait, (q.meanRunTime+ahead.work)/time.Duration(limit))
+	return max(wait, time.Duration(float64(q.meanRunTime+ahead.work)/q.slotsFor(now, rank)))
 }
 
 // position returns the element of its flow after which a request belongs in its rank, or nil for
@@ -222,7 +217,6 @@
 // receives the result later. wait is the estimated wait on which the decision rests.
 func (q *Queue) Admit(now time.Time, req *Request) (decision Decision, wait time.Duration) {
 	req.Rank = clampRank(req.Rank)
-	q.hasCustomers = q.hasCustomers || req.Customer != ""
 	if req.ExpectedRunTime <= 0 {
 		req.ExpectedRunTime = q.meanRunTime
 	}
@@ -258,9 +252,7 @@
 	index, _ := classOf(req.Rank)
 	c := &q.classes[index]
 	c.charge(req.flow, req.ExpectedRunTime)
-	if q.hasCustomers {
-		c.recordUse(now, req.flow, req.ExpectedRunTime)
-	}
+	c.recordUse(now, req.flow, req.ExpectedRunTime)
 	req.startedAt = now
 	q.running++
 	if req.Rank == RankNested {
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -23,9 +23,7 @@
 	if refused != nil {
 		return refused
 	}
-	if call.Customer != "" {
-		defer t.settle(s, slotReq)
-	}
+	defer t.settle(s, slotReq)
 	if queued {
 		if refused := t.waitForSlot(ctx, s, slotReq); refused != nil {
 			refused.QueueTime = time.Since(began)
@@ -172,7 +170,8 @@
 	return s.queue.EstimateCustomerWait(time.Now(), slotReq.Rank, slotReq.Customer)
 }
 
-// settle charges the customer of a request for the time for which it occupied its slot.
+// settle charges the class and the customer of a request for the time for which it occupied its
+// slot.
 func (t *Target) settle(s *server, slotReq *slot.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
