slot: late requests wait in order of priority

Cause: while backend servers warm up after a loss of power, no request is expected on time, and all of them got the one rank of late requests, in order of their deadlines.

Change: a late request has a rank of its priority. Late requests still wait behind all others.

--- a/internal/mesh/slot/load_test.go
+++ b/internal/mesh/slot/load_test.go
@@ -25,6 +25,7 @@
 	runTime   time.Duration // mean; 0 means modelRunTime
 	rank      int           // of first requests; 0 means RankBase+1
 	estimated bool          // whether the run time is known to the target
+	planned   time.Duration // run time for which a wait leaves room; at least modelRunTime
 	anonymous bool          // whether the requests are without a customer
 }
 
@@ -200,10 +201,11 @@
 	if c.load.estimated {
 		req.ExpectedRunTime = c.load.runTime
 	}
-	req.MaxWait = time.Duration(0.9*float64(budget)) - modelRunTime
+	planned := max(c.load.planned, modelRunTime)
+	req.MaxWait = time.Duration(0.9*float64(budget)) - planned
 	if req.MaxWait <= 0 {
 		req.MaxWait = modelObjective / 4
-		req.Rank = RankLate
+		req.Rank = LateRank((c.load.rank - RankBase) / ranksPerClass)
 	}
 	return req
 }
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -66,14 +66,22 @@
 // Ranks of requests; a lower number runs first. Calls that a backend server makes
 // on behalf of a request that it is running go first: if such a call is refused, the
 // slot of the outer request was occupied in vain. Late requests get the slots that
-// no other request waits for.
+// no other request waits for, in order of priority. While a backend server is so slow that
+// all its requests are late, they are all that it serves.
 const (
 	RankNested = 0
 	RankBase   = 1 // rank of the highest priority; lower priorities follow
 	RankLate   = 15
-	rankCount  = RankLate + 1
+	// latePriorities is the number of priorities that late requests are distinguished by.
+	latePriorities = 7
+	rankCount      = RankLate + latePriorities*ranksPerClass
 )
 
+// LateRank returns the rank of a late request of a priority. Each priority has a class of its own.
+func LateRank(priority int) int {
+	return RankLate + ranksPerClass*min(max(priority, 0), latePriorities-1)
+}
+
 // Request asks for a slot.
 type Request struct {
 	Rank int
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -91,7 +91,7 @@
 	case call.Nested:
 		return slot.RankNested
 	case call.Late:
-		return slot.RankLate
+		return slot.LateRank(call.Priority)
 	case call.CallerRetry:
 		return min(slot.RankBase+2*call.Priority, defaultRank)
 	}
