losses: why requests were not served on time, from the logs of several nodes

Cause: the log has a line for each refused request, but none for a late one, and under load most lines are dropped (200 a second of each message).

Change: each node counts its replies by route and cause and logs a line a second for each route that lost requests. `cicadaseam losses` adds up the lines of several nodes by route, zone and second.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -25,6 +25,7 @@
 	Sidecar   *sidecarCommand   `arg:"subcommand:sidecar" help:"run a mesh proxy beside a backend server of the platform"`
 	Rollout   *rolloutCommand   `arg:"subcommand:rollout" help:"order a rollout on the platform, or show or abort one"`
 	Explain   *explainCommand   `arg:"subcommand:explain" help:"show the timeline of one request from the logs of several nodes"`
+	Losses    *lossesCommand    `arg:"subcommand:losses" help:"show from the logs of several nodes why requests were not served on time"`
 	Logd      *logdCommand      `arg:"subcommand:logd" help:"run the test implementation of the shared log"`
 	Backend   *backendCommand   `arg:"subcommand:backend" help:"run a test backend server"`
 	Call      *callCommand      `arg:"subcommand:call" help:"make calls through a node"`
@@ -59,6 +60,7 @@
   cicadaseam rollout start desk v2 --duration 30s --store 10.200.1.7:8309
   cicadaseam customers 10.200.0.7:9100
   cicadaseam explain --id 9c41d07be2a35f68 node-1.log node-2.log
+  cicadaseam losses node-1.log node-2.log
 
 exit codes: 0 done, 1 failed, 2 bad use`
 }
--- a/internal/command/cli/explain.go
+++ b/internal/command/cli/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +19,7 @@
 func (c *explainCommand) run(_ context.Context, s streams) error {
 	events := timeline.New(c.ID)
 	for _, name := range c.Files {
-		if err := readLog(events, name); err != nil {
+		if err := readLog(name, events.Read); err != nil {
 			return err
 		}
 	}
@@ -28,12 +29,12 @@
 	return events.Write(s.out)
 }
 
-// readLog adds the lines of a log file that concern the request to its timeline.
-func readLog(events *timeline.Timeline, name string) error {
+// readLog passes a log file to a function that reads it.
+func readLog(name string, read func(io.Reader) error) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return errors.Wrap(err, "open a log file")
 	}
 	defer func() { _ = f.Close() }() // opened only for reading
-	return errors.Wrap(events.Read(f), fmt.Sprintf("read log file %s", name))
+	return errors.Wrap(read(f), fmt.Sprintf("read log file %s", name))
 }
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
+	"github.com/cicadaseam/cicadaseam/internal/report/losses"
 )
 
 // sampleSize is the number of values that each histogram samples.
@@ -21,6 +22,8 @@
 type Meter struct {
 	registry gometrics.Registry
 
+	losses *losses.Recorder // nil until the zone of the node is known
+
 	mu         sync.Mutex
 	replies    map[replyKey]gometrics.Counter
 	histograms map[string]*serviceHistograms
@@ -48,6 +51,7 @@
 
 // ObserveReply implements dispatch.Observer.
 func (m *Meter) ObserveReply(r dispatch.ReplyStats) {
+	m.recordLoss(&r)
 	if r.Reason == cicadaseam.ReasonNone {
 		r.Reason = "none"
 	}
@@ -59,6 +63,17 @@
 	h.added.Update(max(r.Latency-r.QueueTime-r.BackendTime, 0).Microseconds())
 }
 
+// recordLoss counts a reply by what it lost.
+func (m *Meter) recordLoss(r *dispatch.ReplyStats) {
+	if m.losses == nil || r.Route == "" {
+		return
+	}
+	m.losses.Record(losses.Reply{
+		Route: r.Route, Outcome: r.Outcome, Status: r.Status, Reason: r.Reason, Returning: r.Returning, Budget: r.Budget,
+		Latency: r.Latency, QueueTime: r.QueueTime, BackendTime: r.BackendTime,
+	})
+}
+
 // replyMetrics returns the counter of a key and the histograms of its service, and
 // registers them when they are used for the first time.
 func (m *Meter) replyMetrics(k replyKey) (gometrics.Counter, *serviceHistograms) {
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -51,6 +51,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
+	"github.com/cicadaseam/cicadaseam/internal/report/losses"
 )
 
 const (
@@ -158,10 +159,29 @@
 	return n, nil
 }
 
+// lossPeriod is the time between two log lines about the requests of a route that were lost.
+const lossPeriod = time.Second
+
+// logLosses logs the requests that were not served on time until the context ends.
+func (n *Node) logLosses(ctx context.Context) {
+	tick := n.timers.Subscribe(lossPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			n.meter.losses.Flush(n.logger)
+		case <-ctx.Done():
+			n.meter.losses.Flush(n.logger)
+			return
+		}
+	}
+}
+
 // build creates the parts of the node, which send heartbeats on conn.
 func (n *Node) build(now time.Time, conn cicadaseam.PacketConn) {
 	s := &n.settings
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.meter.losses = losses.NewRecorder(s.Zone)
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait))
 	n.bulkPool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(bulkPingTimeout), mux.WithHeartbeatInterval(bulkPingTimeout/4))
@@ -180,7 +200,7 @@
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithRetryBudget(dispatch.NewRetryBudget(now, retryBudget(s))), dispatch.WithKeyProofs(keyProofs{n}), dispatch.WithQuota(n.quota), dispatch.WithRollouts(n.rollouts.tracker))
-	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed))
 }
 
 // notifyPeers sends a heartbeat to the other nodes without waiting for the heartbeat period.
@@ -317,6 +337,7 @@
 	n.startTask(func() { n.keepRecords(ctx) })
 	n.startTask(func() { n.keepKeysProven(ctx) })
 	n.startTask(func() { n.rollouts.run(ctx) })
+	n.startTask(func() { n.logLosses(ctx) })
 	n.startTask(func() { n.front.Serve(n.listeners.calls) })
 	n.serveHTTP(n.listeners.ready, http.HandlerFunc(n.handleReady))
 	n.serveHTTP(n.listeners.registry, n.platform.NewRegistryHandler(&Registrar{node: n}))
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -91,6 +91,9 @@
 	Status  int
 	Headers []cicadaseam.Header
 	Body    []byte
+	// Route and LateAt, the end of the latency objective, are set in a successful reply.
+	Route  string
+	LateAt time.Time
 }
 
 // RemoteTargets runs calls at other nodes. Implementations are safe for concurrent
@@ -160,8 +163,15 @@
 type ReplyStats struct {
 	Service  string
 	Priority int
-	Outcome  string
-	Reason   cicadaseam.Reason
+	// Route is empty if the route is not known.
+	Route   string
+	Outcome string
+	Status  int
+	Reason  cicadaseam.Reason
+	// Returning is set if the caller had been refused before. Budget is the part of the latency
+	// objective that was left when the request arrived.
+	Returning bool
+	Budget    time.Duration
 	// Latency is the time from the request to its reply. QueueTime and BackendTime are
 	// the parts of it that the last target reported for its queue and its backend server.
 	Latency, QueueTime, BackendTime time.Duration
@@ -242,7 +252,7 @@
 // Serve returns the reply to a request.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request) *Reply {
 	reply, stats := d.serve(ctx, r)
-	stats.Latency = time.Since(r.Arrived)
+	stats.Status, stats.Latency = reply.Status, time.Since(r.Arrived)
 	d.observer.ObserveReply(stats)
 	return reply
 }
@@ -267,7 +277,8 @@
 		return d.refuseKey(r, rt, stats.Reason, table.Number), stats
 	}
 	ex := d.prepare(r, rt, table, customer, outer)
-	stats.Service, stats.Priority = ex.call.Service, ex.call.Priority
+	stats.Service, stats.Priority, stats.Route = ex.call.Service, ex.call.Priority, rt.Name
+	stats.Returning, stats.Budget = ex.callerRetry, ex.latencyDeadline.Sub(r.Arrived)
 	if wait, refused := d.guard.Refused(time.Now(), ex.call.Fingerprint); refused {
 		stats.Reason = cicadaseam.ReasonQuarantine
 		return d.refuse(ex, stats.Reason, wait), stats
@@ -277,6 +288,9 @@
 	reply, outcome, reason := d.tryWithToken(ctx, ex, customer)
 	stats.Outcome, stats.Reason = outcome, reason
 	stats.QueueTime, stats.BackendTime = ex.queueTime, ex.backendTime
+	if reply.Status < http.StatusInternalServerError {
+		reply.Route, reply.LateAt = rt.Name, ex.latencyDeadline
+	}
 	if ex.nested && reason == cicadaseam.ReasonRetryBudget {
 		d.local.RecordRefusedCall(outerID(ex.call.ID))
 	}
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -64,6 +64,7 @@
 	reply  *dispatch.Reply // valid once done is closed
 	// closeAfter is set when the connection closes after this reply.
 	closeAfter bool
+	readyAt    time.Time // valid once done is closed
 	done       chan struct{}
 }
 
@@ -310,6 +311,7 @@
 	stop := context.AfterFunc(c.server.workCtx, cancel)
 	defer stop()
 	p.reply = c.server.handler(ctx, r)
+	p.readyAt = time.Now()
 }
 
 // newRequest returns a request in the form that the handler takes.
@@ -367,6 +369,7 @@
 	broken := false
 	for p := range c.pipeline {
 		<-p.done
+		c.observeDelay(p)
 		last := c.finishRequest(p)
 		if !broken && c.ctx.Err() == nil {
 			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // the next write reports a failure
@@ -385,6 +388,15 @@
 	}
 }
 
+// observeDelay reports a reply that was ready on time and is late because those before it on the
+// connection were not.
+func (c *conn) observeDelay(p *pendingReply) {
+	lateAt := p.reply.LateAt
+	if lateAt.After(p.readyAt) && time.Now().After(lateAt) {
+		c.server.onDelayed(p.reply.Route)
+	}
+}
+
 // refuseRequests ends readLoop: no further request of the connection is run.
 func (c *conn) refuseRequests() {
 	c.mu.Lock()
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -89,6 +89,9 @@
 type Server struct {
 	handler Handler
 	limits  func() cicadaseam.Limits
+	// onDelayed is called with the route of a reply that was ready on time and is delivered late
+	// behind earlier ones.
+	onDelayed func(route string)
 
 	draining atomic.Bool
 	inFlight atomic.Int64 // requests that are not answered yet
@@ -110,12 +113,18 @@
 // WithLimits sets the function that returns the limits in force.
 func WithLimits(f func() cicadaseam.Limits) Option { return func(s *Server) { s.limits = f } }
 
+// WithOnDelayed sets a function that is called with the route of each reply that was ready within
+// its latency objective and is delivered after it, because replies to earlier requests of the
+// connection go first.
+func WithOnDelayed(f func(route string)) Option { return func(s *Server) { s.onDelayed = f } }
+
 // New returns a server that passes requests to handler.
 func New(handler Handler, opts ...Option) *Server {
 	s := &Server{
-		handler: handler,
-		limits:  func() cicadaseam.Limits { return cicadaseam.Limits{} },
-		conns:   map[*conn]bool{},
+		handler:   handler,
+		limits:    func() cicadaseam.Limits { return cicadaseam.Limits{} },
+		onDelayed: func(string) {},
+		conns:     map[*conn]bool{},
 	}
 	s.workCtx, s.cancelWork = context.WithCancel(context.Background())
 	for _, opt := range opts {
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -22,10 +22,10 @@
 )
 
 // startServer starts a server and returns it with a connection to it.
-func startServer(t *testing.T, h Handler, limits cicadaseam.Limits) (*Server, net.Conn, *bufio.Reader) {
+func startServer(t *testing.T, h Handler, limits cicadaseam.Limits, opts ...Option) (*Server, net.Conn, *bufio.Reader) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := New(h, WithLimits(func() cicadaseam.Limits { return limits }))
+	s := New(h, append(opts, WithLimits(func() cicadaseam.Limits { return limits }))...)
 	go s.Serve(l)
 	t.Cleanup(func() { _ = l.Close() })
 	nc, err := net.Dial("tcp", l.Addr().String())
@@ -67,6 +67,27 @@
 	require.Equal(t, "GET /2 ", body)
 }
 
+// Guards against replies that are late behind earlier ones and count as on time.
+func TestRepliesDelayedByEarlierOnesAreReported(t *testing.T) {
+	const objective = 50 * time.Millisecond
+	delayed := make(chan string, 2)
+	_, nc, r := startServer(t, func(ctx context.Context, req *dispatch.Request) *dispatch.Reply {
+		if req.Path == "/slow" {
+			time.Sleep(2 * objective)
+		}
+		reply := echo(ctx, req)
+		reply.Route, reply.LateAt = req.Path, req.Arrived.Add(objective)
+		return reply
+	}, cicadaseam.Limits{}, WithOnDelayed(func(route string) { delayed <- route }))
+	_, _ = io.WriteString(nc, get("/slow")+get("/ready"))
+	readResponse(t, r)
+	readResponse(t, r)
+	require.Equal(t, "/ready", <-delayed)
+	_, _ = io.WriteString(nc, get("/alone"))
+	readResponse(t, r)
+	require.Empty(t, delayed)
+}
+
 func TestRequestBodyWithLengthOrChunks(t *testing.T) {
 	_, nc, r := startServer(t, echo, cicadaseam.Limits{})
 	_, _ = io.WriteString(nc, "POST /a?b=c HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\n\r\nabc")
