dispatch: requests ask targets of their zone for a free slot before they wait for one

Cause: in a large fleet a node knows the loads of most targets from reports that are older than the time in which slots change hands.

Change: a request asks up to three targets of its zone, those whose reports suggest a free slot, to start it at once or to refuse it. Then it waits where the wait is the shortest by the loads that the refusals report. Retries and requests to a service with a rollout do not probe.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -10,7 +10,8 @@
 // A target that cannot run the request in time refuses it at once. That costs no
 // backend server anything, so several targets are tried before the caller is refused.
 // After a refusal, only targets are tried whose last reported load suggests that
-// they have room. The expected latency of a target is the sum of the run time, the
+// they have room. Before a request waits at a target, some are asked for a free slot (probe.go).
+// The expected latency of a target is the sum of the run time, the
 // wait in its queue and the transit time. The transit time is learned from answers:
 // it is the measured time less the times that the target reported.
 //
@@ -309,42 +310,60 @@
 			ex.lastReason = reason
 			break
 		}
-		req := ex.requirements(now)
-		isRetry := ex.nestedInRetry || ex.reachedBackends > 0
-		if isRetry && !d.budget.TryAcquire(now, ex.call.Service, d.fleet.Size(), ex.nested) {
-			d.observer.ObserveRetry(ex.call.Service, false)
-			ex.lastReason = cicadaseam.ReasonRetryBudget
-			break
+		probing := d.mayProbe(ex)
+		try := d.tryNext
+		if probing {
+			try = d.probe
 		}
-		selected, ok := d.selectTarget(now, req, ex)
-		ex.skipped = selected.Skipped
-		if !ok {
-			if isRetry {
-				d.budget.Refund(now, ex.call.Service)
-			}
-			break
+		a, ok := try(ctx, now, ex)
+		switch {
+		case !ok && probing:
+			continue
+		case !ok:
+			return d.giveUp(ex)
+		case !d.recordAnswer(ctx, ex, &a.selected, a.answer):
+			return d.replyWith(ex, a.answer)
 		}
+	}
+	return d.giveUp(ex)
+}
+
+// attempt is a target to which a request was sent, and its answer.
+type attempt struct {
+	selected Selection
+	answer   *cicadaseam.MeshAnswer
+}
+
+// tryNext sends a request to the next target, where it may wait for a slot. It returns false if
+// there is none, or a retry is not allowed.
+func (d *Dispatcher) tryNext(ctx context.Context, now time.Time, ex *exchange) (attempt, bool) {
+	isRetry := ex.isRetry()
+	if isRetry && !d.budget.TryAcquire(now, ex.call.Service, d.fleet.Size(), ex.nested) {
+		d.observer.ObserveRetry(ex.call.Service, false)
+		ex.lastReason = cicadaseam.ReasonRetryBudget
+		return attempt{}, false
+	}
+	req := ex.requirements(now)
+	selected, ok := d.selectTarget(now, req, ex)
+	ex.skipped = selected.Skipped
+	if !ok {
 		if isRetry {
-			d.observer.ObserveRetry(ex.call.Service, true)
-		}
-		ex.tried[selected.Candidate.Addr] = true
-		if selected.Candidate.Zone != d.Zone {
-			ex.otherZoneTargets++
-		}
-		answer := d.send(ctx, ex, &req, &selected, isRetry)
-		ended := time.Now()
-		d.selector.RecordResult(ended, selected.Candidate.Addr, ended.Sub(now), answer)
-		if answer.Outcome == cicadaseam.OutcomeRan {
-			d.selector.RecordSize(ex.route.Name, len(ex.call.Body)+len(answer.Body))
-		}
-		if isRetry && !answer.ReachedBackend && answer.Outcome == cicadaseam.OutcomeNotRun {
 			d.budget.Refund(now, ex.call.Service)
 		}
-		if !d.recordAnswer(ctx, ex, &selected, answer) {
-			return d.replyWith(ex, answer)
-		}
+		return attempt{}, false
 	}
-	return d.giveUp(ex)
+	if isRetry {
+		d.observer.ObserveRetry(ex.call.Service, true)
+	}
+	ex.tried[selected.Candidate.Addr] = true
+	if selected.Candidate.Zone != d.Zone {
+		ex.otherZoneTargets++
+	}
+	answer := d.send(ctx, ex, &req, &selected, isRetry)
+	if isRetry && !answer.ReachedBackend && answer.Outcome == cicadaseam.OutcomeNotRun {
+		d.budget.Refund(now, ex.call.Service)
+	}
+	return attempt{selected, answer}, true
 }
 
 // candidates returns the nodes, this one included, whose backend server runs a
@@ -360,16 +379,30 @@
 // localNode names the node itself in its log lines.
 const localNode = "local"
 
-// send sends a request to one target.
+// send sends a request to one target and learns from its answer.
 func (d *Dispatcher) send(ctx context.Context, ex *exchange, req *Requirements, selected *Selection, isRetry bool) *cicadaseam.MeshAnswer {
 	call := ex.call
 	call.Retry = isRetry
 	call.Timeout = req.Timeout
 	call.MaxWait, call.Late = req.maxWait(selected.RunTime)
+	if req.Probe {
+		call.MaxWait = 0
+	}
 	call.LatencyBudget = req.LatencyBudget
 	call.CallerRetry = ex.callerRetry
+	began := time.Now()
+	answer := d.run(ctx, selected, &call)
+	ended := time.Now()
+	d.selector.RecordResult(ended, selected.Candidate.Addr, ended.Sub(began), answer)
+	if answer.Outcome == cicadaseam.OutcomeRan {
+		d.selector.RecordSize(ex.route.Name, len(ex.call.Body)+len(answer.Body))
+	}
+	return answer
+}
+
+func (d *Dispatcher) run(ctx context.Context, selected *Selection, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
 	if selected.Candidate.Local {
-		return d.local.Run(ctx, &call)
+		return d.local.Run(ctx, call)
 	}
-	return d.remote.Run(ctx, selected.Candidate.Addr, &call)
+	return d.remote.Run(ctx, selected.Candidate.Addr, call)
 }
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	peers   []*fleet.Peer
 	answers map[string]func(call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer
 	sentTo  []string
+	// probed are the targets that were asked for a free slot and had none.
+	probed []string
 }
 
 func (m *fakeMesh) Table() *route.Table { return m.table }
@@ -30,10 +33,18 @@
 func (m *fakeMesh) Size() int { return len(m.peers) + 1 }
 
 func (m *fakeMesh) Run(_ context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
+	answer := m.answers[addr](call)
+	if call.MaxWait == 0 && answer.Reason == cicadaseam.ReasonQueueFull {
+		m.probed = append(m.probed, addr)
+		return answer
+	}
 	m.sentTo = append(m.sentTo, addr)
-	return m.answers[addr](call)
+	return answer
 }
 
+// attempts returns the targets to which requests were sent, those that had no free slot first.
+func (m *fakeMesh) attempts() []string { return append(slices.Clone(m.probed), m.sentTo...) }
+
 // noLocal stands for a node without a backend server.
 type noLocal struct{}
 
@@ -123,6 +134,9 @@
 			reply := m.serve(t, nil)
 			require.Equal(t, tt.status, reply.Status)
 			require.Len(t, m.sentTo, tt.sent)
+			slices.Sort(m.probed)
+			require.LessOrEqual(t, len(m.probed), maxProbes)
+			require.Equal(t, m.probed, slices.Compact(slices.Clone(m.probed)), "a target is asked for a free slot once")
 		})
 	}
 }
--- a/internal/mesh/dispatch/keys_test.go
+++ b/internal/mesh/dispatch/keys_test.go
@@ -68,7 +68,7 @@
 			r := &Request{Method: "GET", Host: "a.example", Path: "/x/1", RequestURI: "/x/1", Header: http.Header{"Authorization": {tt.authorization}}, Arrived: time.Now()}
 			reply := d.Serve(context.Background(), r)
 			require.Equal(t, tt.status, reply.Status)
-			require.Len(t, m.sentTo, tt.sent)
+			require.Len(t, m.attempts(), tt.sent)
 			require.Equal(t, tt.reason, recorder.stats[0].Reason)
 		})
 	}
--- a/internal/mesh/dispatch/model_test.go
+++ b/internal/mesh/dispatch/model_test.go
@@ -49,7 +49,11 @@
 	tried                      map[string]bool
 	rank, refusals, otherZones int
 	retryAfter                 time.Duration
-	slotReq                    *slot.Request
+	// probed are the targets that had no free slot. probing is set while another one is asked.
+	probed  []string
+	probes  int
+	probing bool
+	slotReq *slot.Request
 }
 
 type model struct {
@@ -59,6 +63,7 @@
 	nodes      []*modelNode
 	candidates []Candidate // as reported last
 	results    map[string]*modelResult
+	maxProbes  int
 }
 
 func (m *model) time() time.Time { return epoch.Add(m.now) }
@@ -77,9 +82,9 @@
 }
 
 // playModel returns what callers got, by zone and in total, with a mean demand as a part of the
-// capacity of all servers.
-func playModel(seed uint64, utilization float64) map[string]*modelResult {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 7)), events: map[time.Duration][]func(){}, results: map[string]*modelResult{"all": {}}}
+// capacity of all servers. probes is the number of targets that are asked for a free slot.
+func playModel(seed uint64, utilization float64, probes int) map[string]*modelResult {
+	m := &model{rng: rand.New(rand.NewPCG(seed, 7)), events: map[time.Duration][]func(){}, results: map[string]*modelResult{"all": {}}, maxProbes: probes}
 	speeds, zones, capacity := []float64{0.5, 1, 1.5}, []string{"a", "b", "c"}, 0.0
 	for i := range modelNodes {
 		n := &modelNode{index: i, addr: strconv.Itoa(i), zone: zones[i%3], speed: speeds[i/3%3], queue: slot.New(modelSlots), share: 0.27}
@@ -139,8 +144,8 @@
 		SameZoneOnly: c.otherZones >= maxOtherZoneTargets, Timeout: deadline.Sub(now) - replyMargin, Refusals: c.refusals}
 	local, reported := &m.candidates[c.entry.index], m.candidates[c.entry.index]
 	local.Local, local.Load, local.LoadAt = true, c.entry.load(), now
-	selected, ok := Selection{}, false
-	if len(c.tried) < maxTargetsPerRequest {
+	selected, ok := m.probe(c, now, req)
+	if c.probing = ok; !ok && len(c.tried) < maxTargetsPerRequest {
 		selected, ok = c.entry.selector.Select(now, req, m.candidates, c.tried)
 	}
 	*local = reported
@@ -151,7 +156,13 @@
 	c.tried[selected.Candidate.Addr] = true
 	index, _ := strconv.Atoi(selected.Candidate.Addr)
 	c.target = m.nodes[index]
-	m.count(c, func(r *modelResult) { r.targets++ })
+	m.count(c, func(r *modelResult) {
+		if c.probing {
+			r.probes++
+		} else {
+			r.targets++
+		}
+	})
 	if c.target.zone != c.entry.zone {
 		c.otherZones++
 		m.count(c, func(r *modelResult) { r.remote++ })
@@ -163,9 +174,34 @@
 	if c.slotReq.MaxWait = wait; late {
 		c.slotReq.Rank = slot.RankLate
 	}
+	if c.probing {
+		c.slotReq.MaxWait = 0
+	}
 	m.after(c.transit(), func() { m.admit(c) })
 }
 
+// probe selects a target that is asked for a free slot.
+func (m *model) probe(c *modelCall, now time.Time, req Requirements) (Selection, bool) {
+	if c.probes >= m.maxProbes {
+		return Selection{}, false
+	}
+	c.probes++
+	req.Probe, req.SameZoneOnly = true, true
+	selected, ok := c.entry.selector.Select(now, req, m.candidates, c.tried)
+	if !ok {
+		c.endProbing(m.maxProbes)
+	}
+	return selected, ok
+}
+
+// endProbing makes the request wait at its next target.
+func (c *modelCall) endProbing(probes int) {
+	c.probes = probes
+	for _, addr := range c.probed {
+		delete(c.tried, addr)
+	}
+}
+
 // admit offers a request to the queue of its target.
 func (m *model) admit(c *modelCall) {
 	c.queuedAt = m.now
@@ -214,6 +250,14 @@
 	m.after(c.transit(), func() {
 		c.entry.selector.RecordResult(m.time(), c.target.addr, m.now-c.sentAt, a)
 		if a.Outcome == cicadaseam.OutcomeNotRun {
+			if c.probing {
+				c.probed = append(c.probed, c.target.addr)
+				if c.probes == m.maxProbes {
+					c.endProbing(m.maxProbes)
+				}
+				m.try(c)
+				return
+			}
 			c.retryAfter = max(c.retryAfter, a.RetryAfter)
 			if a.Reason == cicadaseam.ReasonQueueFull {
 				c.refusals++
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -35,6 +35,8 @@
 	nestedInRetry bool
 
 	tried            map[string]bool // addresses of the targets
+	probes           int             // targets that were asked for a free slot
+	probed           []string        // addresses of those that had none
 	otherZoneTargets int             // tried targets in other zones
 	reachedBackends  int             // backend servers that the request reached
 	outcomeUnknown   bool            // some attempt may have run or may still run
@@ -98,6 +100,9 @@
 	return ex
 }
 
+// isRetry reports whether the next attempt counts as a retry.
+func (ex *exchange) isRetry() bool { return ex.nestedInRetry || ex.reachedBackends > 0 }
+
 // requirements returns the requirements on the next target.
 func (ex *exchange) requirements(now time.Time) Requirements {
 	return Requirements{
--- a/internal/mesh/dispatch/quota_test.go
+++ b/internal/mesh/dispatch/quota_test.go
@@ -86,7 +86,7 @@
 			require.Equal(t, tt.returned, q.returned)
 			if tt.retryAfter != "" {
 				require.Equal(t, []cicadaseam.Header{{Name: "Retry-After", Value: tt.retryAfter}}, reply.Headers)
-				require.Empty(t, m.sentTo)
+				require.Empty(t, m.attempts())
 			}
 		})
 	}
--- a/internal/mesh/dispatch/reply.go
+++ b/internal/mesh/dispatch/reply.go
@@ -96,7 +96,7 @@
 func (d *Dispatcher) refuse(ex *exchange, reason cicadaseam.Reason, after time.Duration) *Reply {
 	if ex != nil {
 		d.logger.Info("request refused", zap.String("request", ex.call.ID), zap.String("service", ex.call.Service), zap.String("route", ex.route.Name), zap.Bool("nested", ex.nested),
-			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(ex.tried)), zap.Int("passed-over", ex.skipped),
+			zap.String("reason", string(reason)), zap.Duration("retry-after", after), zap.Int("targets", len(ex.tried)), zap.Int("probed", len(ex.probed)), zap.Int("passed-over", ex.skipped),
 			zap.Bool("returning", ex.callerRetry), zap.Duration("timeout", ex.callerTimeout), zap.Duration("took", time.Since(ex.arrived)), zap.Uint64("revision", ex.revision))
 	}
 	return retryReply(http.StatusServiceUnavailable, after)
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -96,6 +96,8 @@
 	// LatencyBudget is the time until the answer is late; it is negative afterwards.
 	LatencyBudget time.Duration
 	Idempotent    bool
+	// Probe is set if the target starts the request at once or refuses it.
+	Probe bool
 	// SameZoneOnly excludes the targets of other zones.
 	SameZoneOnly bool
 	// Timeout is the time within which the target must answer to reach the caller by its
@@ -135,6 +137,8 @@
 func (r *Requirements) expectsRefusal(runTime, wait, loadAge time.Duration) bool {
 	allowed, late := r.maxWait(runTime)
 	switch {
+	case r.Probe:
+		return wait > loadAge
 	case r.Refusals == 0:
 		return wait-loadAge > allowed
 	case late:
@@ -164,7 +168,7 @@
 
 // Select returns the candidate with the lowest cost, of a random sample of those that were
 // not tried, and counts a request as sent to it. Candidates that are expected to refuse
-// come last, and are left out after skipAfterRefusals: the first of them are tried, because
+// come last, and are left out of probes and after skipAfterRefusals: the first of them are tried, because
 // the load may be outdated and the estimate ignores ranks. Select returns false if there
 // is none.
 func (s *Selector) Select(now time.Time, req Requirements, candidates []Candidate, tried map[string]bool) (Selection, bool) {
@@ -184,7 +188,7 @@
 		}
 	}
 	best := &c.accepting
-	if best.target == nil && req.Refusals < skipAfterRefusals {
+	if best.target == nil && req.Refusals < skipAfterRefusals && !req.Probe {
 		best = &c.refusing
 	}
 	best.selection.Skipped = c.skipped
