dispatch: no probe where a target of another zone is better but for its queue

Cause: probes considered only the own zone, so with one or two targets there a slow or failing one got requests although a sound one elsewhere had free slots.

Change: the targets of all zones are compared without the waits in their queues, and a probe is sent only if the best one is in the own zone.

Tests: TestProbedTargets (failing, slow).

--- a/internal/mesh/dispatch/model_test.go
+++ b/internal/mesh/dispatch/model_test.go
@@ -186,7 +186,7 @@
 		return Selection{}, false
 	}
 	c.probes++
-	req.Probe, req.SameZoneOnly = true, true
+	req.Probe = true
 	selected, ok := c.entry.selector.Select(now, req, m.candidates, c.tried)
 	if !ok {
 		c.endProbing(m.maxProbes)
--- a/internal/mesh/dispatch/probe.go
+++ b/internal/mesh/dispatch/probe.go
@@ -16,7 +16,8 @@
 // waits at the target that seems best waits although other targets have free slots. So a request
 // first asks some targets of its zone to start it at once or to refuse it. A refusal costs a round
 // trip within the zone, runs nothing, and reports the load of the target as it is now. The request
-// then waits where the wait is the shortest.
+// then waits where the wait is the shortest. No target is probed if one of another zone is better
+// but for its queue: a slow or failing server would be preferred because it has free slots.
 
 // mayProbe reports whether the next target is asked for a free slot. Retries are not: they are
 // charged to the retry budget for each target. During a rollout each selection counts in the
@@ -25,11 +26,11 @@
 	return ex.probes < maxProbes && !ex.isRetry() && d.rollouts.Split(ex.call.Service) == nil
 }
 
-// probe asks a target of the own zone to start a request at once. It returns false if none seems
-// to have a free slot, or the one that was asked had none.
+// probe asks a target of the own zone to start a request at once. It returns false if there is none
+// to ask, or the one that was asked had no free slot.
 func (d *Dispatcher) probe(ctx context.Context, now time.Time, ex *exchange) (attempt, bool) {
 	req := ex.requirements(now)
-	req.Probe, req.SameZoneOnly = true, true
+	req.Probe = true
 	selected, ok := d.selectTarget(now, req, ex)
 	if !ok {
 		ex.endProbing()
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -192,7 +192,7 @@
 		best = &c.refusing
 	}
 	best.selection.Skipped = c.skipped
-	if best.target == nil {
+	if best.target == nil || req.Probe && best.selection.Candidate.Zone != s.zone {
 		return best.selection, false
 	}
 	best.target.recordSent(now)
@@ -229,6 +229,9 @@
 		c.skipped++
 		best = &c.refusing
 	}
+	if c.req.Probe {
+		expected.QueueTime = 0 // it starts at once, or not there
+	}
 	cost := s.cost(c.now, t, candidate, c.req, &expected)
 	if best.target == nil || cost < best.cost {
 		expected.Candidate = *candidate
