--- a/internal/report/losses/summary.go
+++ b/internal/report/losses/summary.go
@@ -1,8 +1,6 @@
 package losses
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sort"
@@ -11,10 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxLine bounds the length of a log line in bytes.
-const maxLine = 1 << 20
+	"github.com/cicadaseam/cicadaseam/internal/report/logline"
+)
 
 // Summary adds up the lines of Recorders.
 type Summary struct {
@@ -32,44 +29,24 @@
 // Lines returns the number of lines that were added up.
 func (s *Summary) Lines() int { return s.lines }
 
-// Read adds the lines of one log. Lines may have a prefix before the JSON. Those without valid
-// JSON are skipped, since a log may begin or end in the middle of a line.
-func (s *Summary) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for scanner.Scan() {
-		if text := scanner.Text(); strings.Contains(text, Message) {
-			s.add(text)
-		}
-	}
-	return errors.Wrap(scanner.Err(), "read a log")
-}
+// Read adds the lines of one log.
+func (s *Summary) Read(r io.Reader) error { return logline.Read(r, Message, s.add) }
 
-func (s *Summary) add(text string) {
-	start := strings.IndexByte(text, '{')
-	if start < 0 {
-		return
-	}
-	var fields map[string]any
-	if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil || fields["msg"] != Message {
-		return
-	}
-	route, _ := fields["route"].(string)
-	zone, _ := fields["zone"].(string)
-	timestamp, _ := fields["ts"].(string)
-	at, err := time.Parse(time.RFC3339Nano, timestamp)
-	if err != nil {
+func (s *Summary) add(l logline.Line) {
+	if l.Message != Message {
 		return
 	}
 	s.lines++
-	for name, value := range fields {
+	route, _ := l.Fields["route"].(string)
+	zone, _ := l.Fields["zone"].(string)
+	for name, value := range l.Fields {
 		n, isNumber := value.(float64)
 		if !isNumber {
 			continue
 		}
 		count(s.byRoute, route, name, int(n))
 		count(s.byZone, zone, kindOf(name), int(n))
-		count(s.bySecond, at.UTC().Format(time.TimeOnly), kindOf(name), int(n))
+		count(s.bySecond, l.Time.UTC().Format(time.TimeOnly), kindOf(name), int(n))
 	}
 }
 
