sidecar: a quota's refusal is no reply that can be delivered late

A 429 was marked as a successful reply, so one that waited behind earlier replies of its connection was counted as late and taken off the replies on time. Only answers of backend servers are marked now. Lines of losses are in the order of the routes; dispatch tries a target in one place.

--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -63,17 +63,6 @@
 	h.added.Update(max(r.Latency-r.QueueTime-r.BackendTime, 0).Microseconds())
 }
 
-// recordLoss counts a reply by what it lost.
-func (m *Meter) recordLoss(r *dispatch.ReplyStats) {
-	if m.losses == nil || r.Route == "" {
-		return
-	}
-	m.losses.Record(losses.Reply{
-		Route: r.Route, Outcome: r.Outcome, Status: r.Status, Reason: r.Reason, Returning: r.Returning, Budget: r.Budget,
-		Latency: r.Latency, QueueTime: r.QueueTime, BackendTime: r.BackendTime,
-	})
-}
-
 // replyMetrics returns the counter of a key and the histograms of its service, and
 // registers them when they are used for the first time.
 func (m *Meter) replyMetrics(k replyKey) (gometrics.Counter, *serviceHistograms) {
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -159,24 +159,6 @@
 	return n, nil
 }
 
-// lossPeriod is the time between two log lines about the requests of a route that were lost.
-const lossPeriod = time.Second
-
-// logLosses logs the requests that were not served on time until the context ends.
-func (n *Node) logLosses(ctx context.Context) {
-	tick := n.timers.Subscribe(lossPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			n.meter.losses.Flush(n.logger)
-		case <-ctx.Done():
-			n.meter.losses.Flush(n.logger)
-			return
-		}
-	}
-}
-
 // build creates the parts of the node, which send heartbeats on conn.
 func (n *Node) build(now time.Time, conn cicadaseam.PacketConn) {
 	s := &n.settings
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -10,10 +10,10 @@
 // A target that cannot run the request in time refuses it at once. That costs no
 // backend server anything, so several targets are tried before the caller is refused.
 // After a refusal, only targets are tried whose last reported load suggests that
-// they have room. Before a request waits at a target, some are asked for a free slot (probe.go).
-// The expected latency of a target is the sum of the run time, the
-// wait in its queue and the transit time. The transit time is learned from answers:
-// it is the measured time less the times that the target reported.
+// they have room. Before a request waits at a target, some are asked for a free slot
+// (probe.go). The expected latency of a target is the sum of the run time, the wait in
+// its queue and the transit time. The transit time is learned from answers: it is the
+// measured time less the times that the target reported.
 //
 // Once a request may have reached a backend server, it is retried only if it is
 // idempotent or the backend server proved that it did not run, and only within the
@@ -278,7 +278,7 @@
 		return d.refuseKey(r, rt, stats.Reason, table.Number), stats
 	}
 	ex := d.prepare(r, rt, table, customer, outer)
-	stats.Service, stats.Priority, stats.Route = ex.call.Service, ex.call.Priority, rt.Name
+	stats.Route, stats.Service, stats.Priority = rt.Name, ex.call.Service, ex.call.Priority
 	stats.Returning, stats.Budget = ex.callerRetry, ex.latencyDeadline.Sub(r.Arrived)
 	if wait, refused := d.guard.Refused(time.Now(), ex.call.Fingerprint); refused {
 		stats.Reason = cicadaseam.ReasonQuarantine
@@ -289,7 +289,7 @@
 	reply, outcome, reason := d.tryWithToken(ctx, ex, customer)
 	stats.Outcome, stats.Reason = outcome, reason
 	stats.QueueTime, stats.BackendTime = ex.queueTime, ex.backendTime
-	if reply.Status < http.StatusInternalServerError {
+	if outcome == cicadaseam.OutcomeRan.String() && reply.Status < http.StatusInternalServerError {
 		reply.Route, reply.LateAt = rt.Name, ex.latencyDeadline
 	}
 	if ex.nested && reason == cicadaseam.ReasonRetryBudget {
@@ -311,11 +311,7 @@
 			break
 		}
 		probing := d.mayProbe(ex)
-		try := d.tryNext
-		if probing {
-			try = d.probe
-		}
-		a, ok := try(ctx, now, ex)
+		a, ok := d.tryNext(ctx, now, ex, probing)
 		switch {
 		case !ok && probing:
 			continue
@@ -334,9 +330,18 @@
 	answer   *cicadaseam.MeshAnswer
 }
 
-// tryNext sends a request to the next target, where it may wait for a slot. It returns false if
+// tryNext sends a request to the next target, which is only asked for a free slot if probing is
+// set. It returns false if the request was sent to none, or was probing and found no free slot.
+func (d *Dispatcher) tryNext(ctx context.Context, now time.Time, ex *exchange, probing bool) (attempt, bool) {
+	if probing {
+		return d.probe(ctx, now, ex)
+	}
+	return d.tryWaiting(ctx, now, ex)
+}
+
+// tryWaiting sends a request to the next target, where it may wait for a slot. It returns false if
 // there is none, or a retry is not allowed.
-func (d *Dispatcher) tryNext(ctx context.Context, now time.Time, ex *exchange) (attempt, bool) {
+func (d *Dispatcher) tryWaiting(ctx context.Context, now time.Time, ex *exchange) (attempt, bool) {
 	isRetry := ex.isRetry()
 	if isRetry && !d.budget.TryAcquire(now, ex.call.Service, d.fleet.Size(), ex.nested) {
 		d.observer.ObserveRetry(ex.call.Service, false)
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -168,9 +168,9 @@
 
 // Select returns the candidate with the lowest cost, of a random sample of those that were
 // not tried, and counts a request as sent to it. Candidates that are expected to refuse
-// come last, and are left out of probes and after skipAfterRefusals: the first of them are tried, because
-// the load may be outdated and the estimate ignores ranks. Select returns false if there
-// is none.
+// come last, and are left out after skipAfterRefusals: the first of them are tried, because
+// the load may be outdated and the estimate ignores ranks. A probe is sent to none of them.
+// Select returns false if there is no candidate, or if a probe would leave the zone.
 func (s *Selector) Select(now time.Time, req Requirements, candidates []Candidate, tried map[string]bool) (Selection, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/report/losses/losses.go
+++ b/internal/report/losses/losses.go
@@ -114,7 +114,7 @@
 	return &Recorder{zone: zone, routes: map[string]map[string]int{}}
 }
 
-// Record counts a reply.
+// Record counts a reply of the node.
 func (r *Recorder) Record(reply Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,7 +145,14 @@
 
 // Flush writes a line for each route that lost requests since its last line.
 func (r *Recorder) Flush(logger *zap.Logger) {
-	for route, counts := range r.takeLosses() {
+	lost := r.takeLosses()
+	routes := make([]string, 0, len(lost))
+	for route := range lost {
+		routes = append(routes, route)
+	}
+	sort.Strings(routes)
+	for _, route := range routes {
+		counts := lost[route]
 		fields := []zap.Field{zap.String("zone", r.zone), zap.String("route", route)}
 		for _, cause := range sortedKeys(counts) {
 			fields = append(fields, zap.Int(cause, counts[cause]))
