--- a/internal/command/cli/losses.go
+++ b/internal/command/cli/losses.go
@@ -5,7 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cicadaseam/cicadaseam/internal/report/losses"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/losses"
+	"github.com/cicadaseam/cicadaseam/internal/report/lossreport"
 )
 
 type lossesCommand struct {
@@ -13,7 +14,7 @@
 }
 
 func (c *lossesCommand) run(_ context.Context, s streams) error {
-	summary := losses.NewSummary()
+	summary := lossreport.New()
 	for _, name := range c.Files {
 		if err := readLog(name, summary.Read); err != nil {
 			return err
--- a/internal/daemon/sidecar/losses.go
+++ b/internal/daemon/sidecar/losses.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
-	"github.com/cicadaseam/cicadaseam/internal/report/losses"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/losses"
 )
 
 // lossPeriod is the time between two log lines about the requests of a route that were lost.
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -12,7 +12,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
-	"github.com/cicadaseam/cicadaseam/internal/report/losses"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/losses"
 )
 
 // sampleSize is the number of values that each histogram samples.
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -47,11 +47,11 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/keys"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/losses"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/quota"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
-	"github.com/cicadaseam/cicadaseam/internal/report/losses"
 )
 
 const (
--- a/internal/report/losses/losses.go
+++ b/internal/mesh/losses/losses.go
@@ -1,5 +1,5 @@
 // Package losses counts by cause the requests that were not answered within their latency
-// objective, and sums up the counts of several nodes.
+// objective.
 //
 // # Model
 //
@@ -7,7 +7,7 @@
 // what took the longest: the queue, the backend server, or the way between the nodes; or to its
 // caller, who returned after the end of the objective. A Recorder counts the causes by route. Each
 // second it writes a log line for each route that lost requests, so the volume does not grow with
-// the load. A Summary adds up the lines in the logs of several nodes.
+// the load. Package lossreport adds up the lines in the logs of several nodes.
 //
 // The times are those of the node that received the request. The way between the caller and this
 // node is not in them.
@@ -17,15 +17,12 @@
 //	r := losses.NewRecorder("zone-a")
 //	r.Record(losses.Reply{Route: "claims", Outcome: cicadaseam.OutcomeRan.String(), ...})
 //	r.Flush(logger)
-//
-//	s := losses.NewSummary()
-//	err := s.Read(file)
-//	err = s.Write(os.Stdout)
 package losses
 
 import (
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +34,8 @@
 // Message is that of the log lines of a Recorder.
 const Message = "requests not served on time"
 
-// causeOnTime is the cause of a reply that lost nothing.
-const causeOnTime = "on-time"
+// OnTime is the cause of a reply that lost nothing.
+const OnTime = "on-time"
 
 // The causes of late replies. Those of the others consist of a kind and a reason.
 const (
@@ -77,7 +74,7 @@
 	case !served:
 		return kindFailed + r.reason()
 	case r.Latency <= r.Budget:
-		return causeOnTime
+		return OnTime
 	case r.Budget <= 0:
 		return causeReturned
 	}
@@ -127,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.add(route, causeOrder, 1)
-	r.add(route, causeOnTime, -1)
+	r.add(route, OnTime, -1)
 }
 
 // add adds to a count. The lock is held.
@@ -146,15 +143,10 @@
 // Flush writes a line for each route that lost requests since its last line.
 func (r *Recorder) Flush(logger *zap.Logger) {
 	lost := r.takeLosses()
-	routes := make([]string, 0, len(lost))
-	for route := range lost {
-		routes = append(routes, route)
-	}
-	sort.Strings(routes)
-	for _, route := range routes {
+	for _, route := range slices.Sorted(maps.Keys(lost)) {
 		counts := lost[route]
 		fields := []zap.Field{zap.String("zone", r.zone), zap.String("route", route)}
-		for _, cause := range sortedKeys(counts) {
+		for _, cause := range slices.Sorted(maps.Keys(counts)) {
 			fields = append(fields, zap.Int(cause, counts[cause]))
 		}
 		logger.Info(Message, fields...)
@@ -167,19 +159,10 @@
 	defer r.mu.Unlock()
 	out := map[string]map[string]int{}
 	for route, counts := range r.routes {
-		if len(counts) > 1 || counts[causeOnTime] == 0 {
+		if len(counts) > 1 || counts[OnTime] == 0 {
 			out[route] = counts
 			delete(r.routes, route)
 		}
 	}
 	return out
 }
-
-func sortedKeys(counts map[string]int) []string {
-	keys := make([]string, 0, len(counts))
-	for k := range counts {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/report/losses/summary.go
+++ b/internal/report/lossreport/lossreport.go
@@ -1,19 +1,29 @@
-package losses
+// Package lossreport adds up the lines that nodes log about requests which were not answered
+// within their latency objective.
+//
+// # Usage
+//
+//	s := lossreport.New()
+//	err := s.Read(file)
+//	err = s.Write(os.Stdout)
+package lossreport
 
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cicadaseam/cicadaseam/internal/mesh/losses"
 	"github.com/cicadaseam/cicadaseam/internal/report/logline"
 )
 
-// Summary adds up the lines of Recorders.
+// Summary adds up the lines of the recorders of several nodes.
 type Summary struct {
 	lines    int
 	byRoute  map[string]map[string]int
@@ -21,8 +31,8 @@
 	bySecond map[string]map[string]int
 }
 
-// NewSummary returns an empty Summary.
-func NewSummary() *Summary {
+// New returns an empty Summary.
+func New() *Summary {
 	return &Summary{byRoute: map[string]map[string]int{}, byZone: map[string]map[string]int{}, bySecond: map[string]map[string]int{}}
 }
 
@@ -30,10 +40,10 @@
 func (s *Summary) Lines() int { return s.lines }
 
 // Read adds the lines of one log.
-func (s *Summary) Read(r io.Reader) error { return logline.Read(r, Message, s.add) }
+func (s *Summary) Read(r io.Reader) error { return logline.Read(r, losses.Message, s.add) }
 
 func (s *Summary) add(l logline.Line) {
-	if l.Message != Message {
+	if l.Message != losses.Message {
 		return
 	}
 	s.lines++
@@ -59,7 +69,7 @@
 
 // kindOf returns the kind of a cause: on-time, late, refused, again or failed.
 func kindOf(cause string) string {
-	if cause == causeOnTime {
+	if cause == losses.OnTime {
 		return cause
 	}
 	kind, _, _ := strings.Cut(cause, "-")
@@ -80,19 +90,16 @@
 }
 
 func writeTable(w io.Writer, title string, rows map[string]map[string]int) error {
-	columns := map[string]int{}
-	names := make([]string, 0, len(rows))
-	for name, row := range rows {
-		names = append(names, name)
+	columns := map[string]bool{}
+	for _, row := range rows {
 		for column := range row {
-			columns[column]++
+			columns[column] = true
 		}
 	}
-	sort.Strings(names)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	header := sortedKeys(columns)
+	header := slices.Sorted(maps.Keys(columns))
 	fmt.Fprintf(t, "%s\t%s\t\n", title, strings.Join(header, "\t")) // Flush reports failures
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
 		fmt.Fprintf(t, "%s\t", name)
 		for _, column := range header {
 			fmt.Fprintf(t, "%d\t", rows[name][column])
