--- a/internal/mesh/dispatch/probe_test.go
+++ b/internal/mesh/dispatch/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -50,3 +51,30 @@
 		})
 	}
 }
+
+// Guards against retries that cost retry budget for each target that has no free slot.
+func TestRetriesDoNotProbe(t *testing.T) {
+	m := newFakeMesh(t, true)
+	m.add("a", lost)
+	m.add("b", full)
+	require.Equal(t, http.StatusBadGateway, m.serve(t, nil).Status)
+	require.Equal(t, []string{"a", "b"}, m.sentTo)
+	require.Empty(t, m.probed)
+}
+
+// Guards against a request that is refused because the targets that were probed had no free slot,
+// although one of them would have let it wait.
+func TestRequestWaitsWhereItWasProbed(t *testing.T) {
+	m := newFakeMesh(t, false)
+	m.add("a", full)
+	m.add("b", full)
+	m.answers["a"] = func(call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
+		if call.MaxWait > 0 {
+			return &ran
+		}
+		return &full
+	}
+	require.Equal(t, http.StatusOK, m.serve(t, nil).Status)
+	require.ElementsMatch(t, []string{"a", "b"}, m.probed)
+	require.Equal(t, []string{"a"}, m.sentTo)
+}
