slot: one sum of the slots that classes use; the test of the order is exact again

available and slotsFor each subtracted the use of the higher classes; leftBy does it for both, in the same order, so results are the same to the bit. TestWithoutCustomersTheOrderIsThatOfDeadlines had compared waits to a microsecond since the wait depends on the slots used.

--- a/internal/mesh/slot/fair_test.go
+++ b/internal/mesh/slot/fair_test.go
@@ -237,17 +237,17 @@
 		var list []*Request
 		running := 0
 		const mean = initialRunTime
-		var used [classCount]time.Duration // all at the same time, so that nothing decays
+		var used [classCount]usage
 		start := func(req *Request) {
 			index, _ := classOf(req.Rank)
-			used[index] += req.ExpectedRunTime
+			used[index].add(epoch, req.ExpectedRunTime, classWindow)
 			running++
 		}
 		slotsFor := func(rank int) float64 {
 			index, _ := classOf(rank)
 			left := float64(limit)
 			for _, u := range used[:index] {
-				left -= u.Seconds() / classWindow.Seconds()
+				left -= u.slots(epoch, classWindow)
 			}
 			return max(left, minShare*float64(limit))
 		}
@@ -287,7 +287,7 @@
 			} else {
 				list = slices.Insert(list, at, req)
 			}
-			if decision != want || (wait-wantWait).Abs() > time.Microsecond {
+			if decision != want || wait != wantWait {
 				rt.Fatalf("decision %d after %s, want %d after %s", decision, wait, want, wantWait)
 			}
 		}
--- a/internal/mesh/slot/share.go
+++ b/internal/mesh/slot/share.go
@@ -110,11 +110,15 @@
 	if interval := q.rate.Interval(); interval > 0 {
 		slots = min(slots, q.meanRunTime.Seconds()/interval.Seconds())
 	}
-	left := slots
-	for i := range index {
-		left -= q.classes[i].used.slots(now, classWindow)
+	return max(q.leftBy(now, slots, 0, index), minShare*slots)
+}
+
+// leftBy returns what the classes from first up to index, without it, leave of a number of slots.
+func (q *Queue) leftBy(now time.Time, slots float64, first, index int) float64 {
+	for i := first; i < index; i++ {
+		slots -= q.classes[i].used.slots(now, classWindow)
 	}
-	return max(left, minShare*slots)
+	return slots
 }
 
 // slotsFor returns the slots that serve the requests of a rank: those that higher classes, whose
@@ -125,10 +129,7 @@
 	}
 	left := float64(q.limit) - max(float64(q.nested.slots), q.classes[0].used.slots(now, classWindow))
 	index, _ := classOf(rank)
-	for i := 1; i < index; i++ {
-		left -= q.classes[i].used.slots(now, classWindow)
-	}
-	return max(left, minShare*float64(q.limit))
+	return max(q.leftBy(now, left, 1, index), minShare*float64(q.limit))
 }
 
 // recordDemand records that a request asks for a slot, and decides whether its class is contended.
