connpool: endless and stray bodies allocate no more than the budget

Cause: TestEndlessResponsesEndInTimeAndMemory exceeded its heap bound once (119.6 of 110 MB) beside load. A body that outgrew its buffer was copied to one of twice the size, and the bodies of stray responses were read into memory before their ID was looked at. Both left garbage beyond the budget of 64 MB, which the collector frees late when processors are short.

Change: a growing body gets a further buffer and is joined at its end, and the body of a response that belongs to another request is discarded while it is read.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -190,9 +190,9 @@
 // another request.
 func readOwnResponse(conn *connpool.Conn, req *http.Request, maxBody int) (r Result, keepAlive bool) {
 	for range maxResponses {
-		var echoedID string
-		r, echoedID, keepAlive = readResponse(conn, req, maxBody)
-		if r.Err != nil || echoedID == "" || echoedID == req.Header.Get(HeaderRequestID) {
+		var own bool
+		r, own, keepAlive = readResponse(conn, req, maxBody)
+		if r.Err != nil || own {
 			return r, keepAlive
 		}
 		if !keepAlive {
@@ -202,20 +202,24 @@
 	return Result{Err: ErrStrayResponse}, false
 }
 
-// readResponse reads the next response and the request ID that it echoes. keepAlive is false
-// when the connection cannot be reused after it.
-func readResponse(conn *connpool.Conn, req *http.Request, maxBody int) (r Result, echoedID string, keepAlive bool) {
-	resp, err := conn.ReadResponse(req, maxBody)
+// readResponse reads the next response. own is set if that does not echo the ID of another request,
+// and keepAlive is false when the connection cannot be reused after it.
+func readResponse(conn *connpool.Conn, req *http.Request, maxBody int) (r Result, own, keepAlive bool) {
+	resp, err := conn.ReadResponse(req, maxBody, func(resp *connpool.Response) bool {
+		echoedID := resp.Header.Get(HeaderRequestID)
+		own = echoedID == "" || echoedID == req.Header.Get(HeaderRequestID)
+		return own
+	})
 	if err != nil {
-		return Result{TooLarge: errors.Is(err, connpool.ErrResponseTooLarge), Err: err}, "", false
+		return Result{TooLarge: errors.Is(err, connpool.ErrResponseTooLarge), Err: err}, own, false
 	}
 	if resp.Unframed {
-		return Result{Err: connpool.ErrUnframed}, "", false
+		return Result{Err: connpool.ErrUnframed}, own, false
 	}
 	return Result{
 		Status: resp.Status, Headers: responseHeaders(resp.Header), Body: resp.Body,
 		RateLimit: resp.Header.Get(HeaderRateLimit), Leaving: resp.Header.Get(HeaderLeaving) == "1",
-	}, resp.Header.Get(HeaderRequestID), !resp.Close
+	}, own, !resp.Close
 }
 
 // newRequest returns the HTTP request for a call.
--- a/internal/client/connpool/body.go
+++ b/internal/client/connpool/body.go
@@ -15,12 +15,14 @@
 	maxUnusedPart = 0.25
 )
 
-// bodyReader reads one response body. Its buffer grows with the bytes that have arrived, and is
-// reserved in the budget.
+// bodyReader reads one response body. Its buffers grow with the bytes that have arrived, and are
+// reserved in the budget. A body that outgrows its buffers gets a further one and is joined at its
+// end: replaced buffers would take memory beyond the budget until they are collected.
 type bodyReader struct {
 	budget   *Budget
 	reserved int64
-	data     []byte
+	buffers  [][]byte
+	size     int64 // bytes read so far
 }
 
 // read reads a body of at most maxBody bytes. length is its length, or -1 if it is not known.
@@ -38,39 +40,61 @@
 		if err := b.grow(size); err != nil {
 			return nil, err
 		}
-		for int64(len(b.data)) < size {
-			n, err := body.Read(b.data[len(b.data):size])
-			b.data = b.data[:len(b.data)+n]
-			if errors.Is(err, io.EOF) && int64(len(b.data)) >= length {
-				return b.trimmed(), nil
-			}
-			if err != nil {
-				return nil, errors.Wrap(err, "read the response body")
-			}
-		}
-		switch int64(len(b.data)) {
-		case length:
-			return b.data, nil
-		case end:
+		ended, err := b.fill(body)
+		switch {
+		case ended && b.size >= length:
+			return b.joined(), nil
+		case err != nil:
+			return nil, errors.Wrap(err, "read the response body")
+		case b.size == length:
+			return b.joined(), nil
+		case b.size == end:
 			return nil, errors.Wrapf(ErrResponseTooLarge, "more than %d bytes", maxBody)
 		}
 	}
 }
 
-// grow replaces the buffer by one of size bytes.
+// fill reads into the last buffer until that is full or the body has ended.
+func (b *bodyReader) fill(body io.Reader) (ended bool, err error) {
+	last := &b.buffers[len(b.buffers)-1]
+	for len(*last) < cap(*last) {
+		n, err := body.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
+		b.size += int64(n)
+		if err != nil {
+			return errors.Is(err, io.EOF), err
+		}
+	}
+	return false, nil
+}
+
+// grow adds a buffer, so that all buffers together have size bytes.
 func (b *bodyReader) grow(size int64) error {
-	if !b.budget.reserve(size-b.reserved, size) {
+	added := size - b.reserved
+	if !b.budget.reserve(added, size) {
 		return errors.Wrapf(ErrNoMemory, "for a body of %d bytes", size)
 	}
 	b.reserved = size
-	b.data = append(make([]byte, 0, size), b.data...)
+	b.buffers = append(b.buffers, make([]byte, 0, added))
 	return nil
 }
 
-// trimmed returns the body without an unused part that is large.
-func (b *bodyReader) trimmed() []byte {
-	if float64(cap(b.data)-len(b.data)) > maxUnusedPart*float64(cap(b.data)) {
-		return bytes.Clone(b.data)
+// joined returns the body in one buffer, without an unused part that is large.
+func (b *bodyReader) joined() []byte {
+	if first := b.buffers[0]; len(b.buffers) == 1 && float64(cap(first)-len(first)) <= maxUnusedPart*float64(cap(first)) {
+		return first
+	}
+	return bytes.Join(b.buffers, nil)
+}
+
+// discardBody reads a body of at most maxBody bytes and keeps nothing of it.
+func discardBody(body io.Reader, maxBody int) error {
+	n, err := io.CopyN(io.Discard, body, int64(maxBody)+1)
+	switch {
+	case n > int64(maxBody):
+		return errors.Wrapf(ErrResponseTooLarge, "more than %d bytes", maxBody)
+	case errors.Is(err, io.EOF):
+		return nil
 	}
-	return b.data
+	return errors.Wrap(err, "discard the response body")
 }
--- a/internal/client/connpool/conn.go
+++ b/internal/client/connpool/conn.go
@@ -173,10 +173,11 @@
 	BodyErr error
 }
 
-// ReadResponse reads the next response, with a body of at most maxBody bytes. It does not
-// wait for the request to be written completely, since a server may respond without
-// reading all of it.
-func (c *Conn) ReadResponse(req *http.Request, maxBody int) (Response, error) {
+// ReadResponse reads the next response, with a body of at most maxBody bytes. wanted gets its head
+// and reports whether the body is wanted: otherwise it is read and not kept. ReadResponse does not
+// wait for the request to be written completely, since a server may respond without reading all of
+// it.
+func (c *Conn) ReadResponse(req *http.Request, maxBody int, wanted func(*Response) bool) (Response, error) {
 	c.limit.N = maxResponseHead
 	resp, err := http1.ReadFinalResponse(c.r, req)
 	if err != nil && c.limit.N <= 0 {
@@ -186,19 +187,21 @@
 		return Response{}, errors.Wrap(err, "read the response head")
 	}
 	c.limit.N = math.MaxInt64
-	if isUnframed(resp) {
-		body, err := (&bodyReader{budget: c.budget}).read(resp.Body, -1, maxBody)
-		return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: true, Unframed: true, BodyErr: err}, nil
+	r := Response{Status: resp.StatusCode, Header: resp.Header, Unframed: isUnframed(resp)}
+	r.Close = resp.Close || r.Unframed
+	if !wanted(&r) {
+		return r, discardBody(resp.Body, maxBody)
 	}
 	length := resp.ContentLength
 	if resp.Body == http.NoBody { // a response to HEAD has the Content-Length of the response to GET
 		length = 0
 	}
-	body, err := (&bodyReader{budget: c.budget}).read(resp.Body, length, maxBody)
-	if err != nil {
-		return Response{}, err
+	r.Body, err = (&bodyReader{budget: c.budget}).read(resp.Body, length, maxBody)
+	if r.Unframed {
+		r.BodyErr = err
+		return r, nil
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close}, nil
+	return r, err
 }
 
 // isUnframed reports whether the body of a response has neither a length nor chunks.
--- a/internal/client/connpool/connpool_test.go
+++ b/internal/client/connpool/connpool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -59,7 +60,7 @@
 	var resp Response
 	var readErr error
 	sent, reusable := c.Exchange(ctx, 0, func() error { return c.WriteRequest([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil) }, func() bool {
-		resp, readErr = c.ReadResponse(&http.Request{Method: "GET"}, 10)
+		resp, readErr = c.ReadResponse(&http.Request{Method: "GET"}, 10, func(*Response) bool { return true })
 		return readErr == nil && !resp.Close
 	})
 	require.True(t, sent)
@@ -157,6 +158,28 @@
 	require.Equal(t, int64(limit/2), budget.Used())
 }
 
+// Endless bodies and bodies that nobody wants must take no memory beyond the budget, also not as
+// garbage: on a busy machine it may be collected only after the next bodies were read.
+func TestBodiesInVainAllocateNoMoreThanIsReserved(t *testing.T) {
+	const size = 8 << 20
+	allocated := func(read func() error) uint64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		require.Error(t, read())
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	for _, length := range []int64{-1, size} {
+		endless := allocated(func() error {
+			_, err := (&bodyReader{budget: NewBudget(64 << 20)}).read(io.LimitReader(zeros{}, size-1), length, size-2)
+			return err
+		})
+		require.LessOrEqual(t, endless, uint64(size+size/8), "length %d", length)
+	}
+	unwanted := allocated(func() error { return discardBody(zeros{}, size) })
+	require.LessOrEqual(t, unwanted, uint64(size/8))
+}
+
 // zeros yields zero bytes without end.
 type zeros struct{}
 
@@ -211,7 +234,7 @@
 	require.NoError(t, err)
 	_, reusable := c.Exchange(ctx, 0, func() error { return c.WriteRequest([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil) }, func() bool {
 		cancel()
-		_, err := c.ReadResponse(&http.Request{Method: "GET"}, 10)
+		_, err := c.ReadResponse(&http.Request{Method: "GET"}, 10, func(*Response) bool { return true })
 		return err == nil
 	})
 	require.False(t, reusable)
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -198,15 +198,17 @@
 func (c *Client) readResponse(conn *connpool.Conn, call *cicadaseam.MeshCall) (Result, bool) {
 	req := &http.Request{Method: call.Method}
 	for range maxResponses {
-		result, echoedID, keepAlive := c.readOne(conn, req)
+		result, belongs, keepAlive := c.readOne(conn, req, call.ID)
 		if result.Err != nil {
 			return result, false
 		}
-		stray := echoedID != call.ID && (echoedID != "" || result.Status < http.StatusMultipleChoices)
-		if !stray {
+		if belongs == ownResponse {
+			return c.classify(result), keepAlive
+		}
+		if belongs == unidentifiedResponse {
 			// A second copy of a response without an ID could not be told from the response
 			// to the next request, so the connection is not used for one.
-			return c.classify(result), keepAlive && echoedID != ""
+			return c.classify(result), false
 		}
 		if !keepAlive {
 			return Result{Err: ErrMismatchedID}, false
@@ -215,6 +217,26 @@
 	return Result{Err: ErrTooManyStrayResponses}, false
 }
 
+// owner says to which request a response belongs.
+type owner uint8
+
+const (
+	strayResponse        owner = iota // to another request
+	ownResponse                       // echoes the ID of the request
+	unidentifiedResponse              // has no ID, and is taken for that to the request
+)
+
+// ownerOf returns to which request a response belongs, when the request with an ID waits for one.
+func ownerOf(status int, echoedID, id string) owner {
+	switch {
+	case echoedID == "" && (id == "" || status >= http.StatusMultipleChoices):
+		return unidentifiedResponse
+	case echoedID == id:
+		return ownResponse
+	}
+	return strayResponse
+}
+
 // classify sets Rejected in the response to a request. It replaces a successful one without
 // a seal, and one whose body may be incomplete, by an error.
 func (c *Client) classify(r Result) Result {
@@ -238,19 +260,22 @@
 	return r
 }
 
-// readOne reads one complete response and the request ID that it echoes. keepAlive is
-// false when the connection closes after it.
-func (c *Client) readOne(conn *connpool.Conn, req *http.Request) (r Result, echoedID string, keepAlive bool) {
-	resp, err := conn.ReadResponse(req, maxResponseBody)
+// readOne reads one complete response, while the request with an ID waits for one. The body of a
+// stray response is not kept. keepAlive is false when the connection closes after it.
+func (c *Client) readOne(conn *connpool.Conn, req *http.Request, id string) (r Result, belongs owner, keepAlive bool) {
+	resp, err := conn.ReadResponse(req, maxResponseBody, func(resp *connpool.Response) bool {
+		belongs = ownerOf(resp.Status, resp.Header.Get(c.headers.RequestID), id)
+		return belongs != strayResponse
+	})
 	if err != nil {
-		return Result{Err: err}, "", false
+		return Result{Err: err}, belongs, false
 	}
 	if d := keepAliveTime(resp.Header.Get("Keep-Alive")); d > 0 {
 		conn.SetIdleTimeout(usableIdle(d))
 	}
 	r = Result{Status: resp.Status, Headers: http1.EndToEndHeaders(resp.Header), Body: resp.Body,
 		RateLimit: resp.Header.Get(c.headers.RateLimit), Leaving: resp.Header.Get(c.headers.Leaving) == "1", unframed: resp.Unframed, bodyErr: resp.BodyErr}
-	return r, resp.Header.Get(c.headers.RequestID), !resp.Close
+	return r, belongs, !resp.Close
 }
 
 // keepAliveTime returns the timeout parameter of a Keep-Alive header, or 0.
