--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -3,23 +3,34 @@
 // # Model
 //
 // A message is a msgpack value in which each struct is an array of its fields in order and each
-// integer is encoded in as few bytes as possible. Field names are not transmitted, so both ends
-// must have the same fields: the protocol that a message belongs to has a format number, which
-// must be incremented with a change to any message. Decoding fails if the length of an array
-// differs from the number of fields of the struct.
+// integer is encoded in as few bytes as possible. Field names are not transmitted. Decoding fails
+// if the length of an array differs from the number of fields of the struct, so the fields of a
+// message that a release has sent never change.
+//
+// What a later release adds goes into an extension: a second value behind the message, a map that
+// names its fields. A release that does not know the extension ignores it, one that does not know
+// a field of it skips the field, and without an extension all of its fields are zero. A zero field
+// must therefore mean what the message meant before the field existed.
 //
 // # Usage
 //
 //	data, err := pack.Marshal(&message)
 //	err = pack.Unmarshal(data, &message)
+//
+//	data, err = pack.AppendExtension(data, &extension)
+//	err = pack.UnmarshalExtended(data, &message, &extension)
 package pack
 
 import (
 	"bytes"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// ErrExtension is returned for a message that was decoded and whose extension cannot be decoded.
+var ErrExtension = errors.New("extension not decoded")
+
 // Marshal encodes a message.
 func Marshal(message any) ([]byte, error) {
 	enc := msgpack.GetEncoder()
@@ -36,3 +47,23 @@
 func Unmarshal(data []byte, message any) error {
 	return msgpack.Unmarshal(data, message)
 }
+
+// AppendExtension appends an extension to an encoded message.
+func AppendExtension(data []byte, extension any) ([]byte, error) {
+	more, err := msgpack.Marshal(extension)
+	return append(data, more...), err
+}
+
+// UnmarshalExtended decodes data into the message and the extension that are pointed to. The
+// extension stays as it is if data has none.
+func UnmarshalExtended(data []byte, message, extension any) error {
+	r := bytes.NewReader(data)
+	decoder := msgpack.NewDecoder(r)
+	if err := decoder.Decode(message); err != nil || r.Len() == 0 {
+		return err
+	}
+	if err := decoder.Decode(extension); err != nil {
+		return errors.Mark(err, ErrExtension)
+	}
+	return nil
+}
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -34,6 +34,7 @@
 	Customers *customersCommand `arg:"subcommand:customers" help:"show the quotas of the customers and their use as one sidecar knows them"`
 	Config    *configCommand    `arg:"subcommand:config" help:"show the effective settings of a scope and where each comes from"`
 	Report    *reportCommand    `arg:"subcommand:report" help:"report the burn rates of the service-level objectives"`
+	Version   *versionCommand   `arg:"subcommand:version" help:"show the commit of this program and the formats that it shares with other nodes"`
 	Settings  *settingsCommand  `arg:"subcommand:settings" help:"print a commented example of the settings, or check a file"`
 }
 
@@ -61,6 +62,7 @@
   cicadaseam customers 10.200.0.7:9100
   cicadaseam explain --id 9c41d07be2a35f68 node-1.log node-2.log
   cicadaseam losses node-1.log node-2.log
+  cicadaseam version
 
 exit codes: 0 done, 1 failed, 2 bad use`
 }
--- a/internal/daemon/sidecar/meter.go
+++ b/internal/daemon/sidecar/meter.go
@@ -142,6 +142,7 @@
 			fmt.Sprintf("links-silent %d", n.pool.Counters().PingTimeouts.Load()),
 			fmt.Sprintf("revision-age-ms %d", n.syncer.Age(now).Milliseconds()),
 		}
+		lines = append(lines, n.buildMetrics()...)
 		lines = append(lines, n.keyMetrics()...)
 		lines = append(lines, n.rollouts.metrics()...)
 		lines = append(lines, n.quotaMetrics()...)
--- a/internal/daemon/sidecar/page_test.go
+++ b/internal/daemon/sidecar/page_test.go
@@ -48,7 +48,7 @@
 		"requests.desk.1.ran.none": "requests.SERVICE.PRIORITY.OUTCOME.REASON", "latency-us.desk": "latency-us.SERVICE",
 		"queued-us.desk": "queued-us.SERVICE", "backend-us.desk": "backend-us.SERVICE", "added-us.desk": "added-us.SERVICE",
 		"repeats.desk.made": "repeats.SERVICE.VERDICT", "repeats.desk.denied": "repeats.SERVICE.VERDICT", "store.read.ok": "store.OPERATION.RESULT",
-		"rollout-state.desk": "rollout-state.SERVICE", "rollout-sent.desk": "rollout-sent.SERVICE", "rollout-sent-to-version.desk": "rollout-sent-to-version.SERVICE",
+		"rollout-state.desk": "rollout-state.SERVICE", "rollout-sent.desk": "rollout-sent.SERVICE", "rollout-sent-to-version.desk": "rollout-sent-to-version.SERVICE", "builds.unknown": "builds.BUILD",
 	}
 	_, table, found := strings.Cut(readPage(t), "| name | meaning |")
 	require.True(t, found)
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/release"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
@@ -89,6 +90,7 @@
 	logger   *zap.Logger
 	epoch    int64  // start time in nanoseconds since the Unix epoch
 	senderID uint64 // identifies this process in its calls
+	build    string // commit of this program, or empty
 
 	timers *timer.Service
 	pool   *mux.Pool
@@ -139,7 +141,7 @@
 // New returns a node that listens on its addresses. Run makes it serve them.
 func New(settings Settings, platform Platform, opts ...Option) (*Node, error) {
 	now := time.Now()
-	n := &Node{settings: settings, platform: platform, logger: zap.NewNop(), epoch: now.UnixNano(), meter: NewMeter(), droppedLines: func() int64 { return 0 }}
+	n := &Node{settings: settings, platform: platform, logger: zap.NewNop(), epoch: now.UnixNano(), build: release.Commit(), meter: NewMeter(), droppedLines: func() int64 { return 0 }}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -155,12 +157,12 @@
 		n.closeListeners()
 		return nil, err
 	}
-	n.build(now, conn)
+	n.assemble(now, conn)
 	return n, nil
 }
 
-// build creates the parts of the node, which send heartbeats on conn.
-func (n *Node) build(now time.Time, conn cicadaseam.PacketConn) {
+// assemble creates the parts of the node, which send heartbeats on conn.
+func (n *Node) assemble(now time.Time, conn cicadaseam.PacketConn) {
 	s := &n.settings
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.meter.losses = losses.NewRecorder(s.Zone)
@@ -233,6 +235,7 @@
 		Marks:             n.guard.NextMarks(),
 		SentAt:            transit.Now(),
 		Rollout:           n.rollouts.report(instance.Version),
+		Build:             n.build,
 	}
 }
 
@@ -284,7 +287,7 @@
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.startTasks(taskCtx)
-	n.logger.Info("node started", zap.String("name", n.settings.Name), zap.String("zone", n.settings.Zone), zap.String("service", n.settings.Service))
+	n.logger.Info("node started", zap.String("name", n.settings.Name), zap.String("zone", n.settings.Zone), zap.String("service", n.settings.Service), zap.String("build", n.build))
 	<-ctx.Done()
 	allAnswered := n.drain()
 	stop()
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -36,8 +36,8 @@
 	AnnouncementsPerZone = 3
 	// MaxRecordsRead bounds the records of the stream that are read: the newest ones.
 	MaxRecordsRead = 200
-	// formatVersion is the first byte of a record.
-	formatVersion = 1
+	// Format is the first byte of a record.
+	Format = 1
 	// maxFirstDelay bounds the random delay before the first attempt to join, and is the first
 	// bound of the backoff.
 	maxFirstDelay = 300 * time.Millisecond
@@ -88,13 +88,13 @@
 // Encode returns an announcement as a record.
 func Encode(announcement Announcement) ([]byte, error) {
 	body, err := msgpack.Marshal(&announcement)
-	return append([]byte{formatVersion}, body...), err
+	return append([]byte{Format}, body...), err
 }
 
 // Decode returns the announcement of a record, and whether it is valid.
 func Decode(data []byte) (Announcement, bool) {
 	var announcement Announcement
-	if len(data) == 0 || data[0] != formatVersion {
+	if len(data) == 0 || data[0] != Format {
 		return announcement, false
 	}
 	err := msgpack.Unmarshal(data[1:], &announcement)
--- a/internal/mesh/fleet/extension.go
+++ b/internal/mesh/fleet/extension.go
@@ -1,42 +1,37 @@
 package fleet
 
 import (
-	"bytes"
-
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/cockroachdb/errors"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/rollout"
 )
 
-// extension is the part of a full heartbeat that follows it as a second value. Processes of
-// releases without extensions ignore what follows a heartbeat, and pass it on as it is. Its
-// encoding names its fields, so that unknown ones are skipped.
+// extension is the extension of a full heartbeat. Nodes of releases that do not know it pass it on
+// as it is.
 type extension struct {
 	Rollout *rollout.Report `msgpack:"r,omitempty"`
+	Build   string          `msgpack:"b,omitempty"`
 }
 
 // appendExtension appends the extension of a heartbeat to its encoding, if it has one.
 func appendExtension(body []byte, hb *Heartbeat) ([]byte, error) {
-	if hb.Rollout == nil {
+	if hb.Rollout == nil && hb.Build == "" {
 		return body, nil
 	}
-	data, err := msgpack.Marshal(&extension{Rollout: hb.Rollout})
-	return append(body, data...), err
+	return pack.AppendExtension(body, &extension{Rollout: hb.Rollout, Build: hb.Build})
 }
 
 // decodeFull decodes a full heartbeat and its extension. An extension that cannot be decoded is
 // left out.
 func decodeFull(data []byte, hb *Heartbeat) error {
-	r := bytes.NewReader(data)
-	decoder := msgpack.NewDecoder(r)
-	if err := decoder.Decode(hb); err != nil || r.Len() == 0 {
-		return err
-	}
 	var x extension
-	if err := decoder.Decode(&x); err == nil {
-		hb.Rollout = x.Rollout
+	err := pack.UnmarshalExtended(data, hb, &x)
+	if errors.Is(err, pack.ErrExtension) {
+		return nil
 	}
-	return nil
+	hb.Rollout, hb.Build = x.Rollout, x.Build
+	return err
 }
 
 // rolloutSequence returns the sequence of the rollout report, or 0 without one.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -266,7 +266,7 @@
 	eff := f.record(now, hb)
 	if eff.changed {
 		f.logger.Info("peer changed", zap.String("peer", hb.Node), zap.Bool("met", eff.discovered), zap.String("service", hb.Service),
-			zap.Bool("serving", hb.Serving), zap.Bool("leaving", hb.Leaving), zap.Uint64("revision", hb.Revision))
+			zap.Bool("serving", hb.Serving), zap.Bool("leaving", hb.Leaving), zap.Uint64("revision", hb.Revision), zap.String("build", hb.Build))
 	}
 	if eff.discovered {
 		f.triggerInitial()
--- a/internal/mesh/fleet/heartbeat.go
+++ b/internal/mesh/fleet/heartbeat.go
@@ -71,8 +71,10 @@
 	Relays bool
 	// Known is set if the sender had a heartbeat of the receiver already.
 	Known bool
-	// Rollout is nil while there is no rollout order. It is part of the extension.
+	// Rollout is nil while there is no rollout order. It and Build are parts of the extension.
 	Rollout *rollout.Report `msgpack:"-"`
+	// Build is the commit of the sender's program, or empty if that is not known.
+	Build string `msgpack:"-"`
 }
 
 // compactHeartbeat is sent while the state of a node has not changed since its last full
