--- a/internal/command/benchcli/benchcli.go
+++ b/internal/command/benchcli/benchcli.go
@@ -8,6 +8,8 @@
 // --spread selects how the configuration is distributed: "tree" is what the system does; "poll"
 // (every node polls the log) and "gossip" (gossip without push) are baselines.
 //
+// With --ideal, no fleet is started: package ideal plays the load of a file.
+//
 // # Usage
 //
 //	os.Exit(benchcli.Main(os.Args[1:], os.Stdout, os.Stderr))
@@ -45,6 +47,7 @@
 	Rate        int           `arg:"--rate" default:"320" help:"calls per second through all nodes together"`
 	ServiceTime time.Duration `arg:"--service-time" default:"2ms" help:"time that a backend server takes for a request"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the random load and churn"`
+	Ideal       string        `arg:"--ideal" help:"measure nothing, only print what could be served of the load in an INI file with perfect knowledge"`
 	Summary     bool          `arg:"--summary" help:"measure nothing, only write the tables and plots of the measurements in the folder"`
 	Timeout     time.Duration `arg:"--timeout" default:"10m" help:"timeout of the whole experiment"`
 }
@@ -69,6 +72,9 @@
 		fmt.Fprintf(errOut, "cicadabench: %s\n", problem)
 		return args.Usage
 	}
+	if o.Ideal != "" {
+		return printIdeal(o.Ideal, out, errOut)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
