--- a/internal/mesh/dispatch/retryafter.go
+++ b/internal/mesh/dispatch/retryafter.go
@@ -27,6 +27,11 @@
 	notReadyRetryAfter = 500 * time.Millisecond // there is no routing table yet
 	noTargetRetryAfter = 300 * time.Millisecond // refused, but not for lack of room
 	minRetryAfter      = 50 * time.Millisecond
+	// roomFactor is the multiple of the time until a target expects room after which a refused
+	// caller is to return. While more requests arrive than can be served, those that come first take
+	// that room. A caller who returned for it would mostly be refused again or be late, and delay
+	// requests that can still be on time.
+	roomFactor = 4
 	// maxRetryAfterShare bounds Retry-After as a part of the time that the caller has
 	// left, because callers shorten longer ones.
 	maxRetryAfterShare = 1.0 / 3
@@ -65,24 +70,31 @@
 	return time.Duration((1+firstAttemptShare)/2*float64(usual)) - remaining
 }
 
-// retryAfter returns the time after which the caller of a refused request should retry.
-// It is based on the longest time after which a target expects to have room. Jitter keeps
+// retryAfter returns the time after which the caller of a refused request should retry. Jitter keeps
 // callers that were refused together from retrying together.
 func (d *Dispatcher) retryAfter(ex *exchange) time.Duration {
-	base := ex.retryAfter
-	if ex.rejected && base <= 0 {
-		// The backend server turns away part of its requests, whenever they come. A caller that
-		// returns soon can still get its answer on time.
-		base = minRetryAfter
-	}
-	if base <= 0 && ex.lastReason != cicadaseam.ReasonQueueFull && ex.lastReason != cicadaseam.ReasonQueueTimeout {
-		base = noTargetRetryAfter
-	}
+	base := ex.returnTime()
 	after := max(time.Duration(d.selector.retryJitter()*float64(base)), minRetryAfter)
 	limit := time.Duration(maxRetryAfterShare * float64(ex.callerTimeout-time.Since(ex.arrived)))
 	return max(min(after, limit), 0)
 }
 
+// returnTime returns when the caller of a refused request should retry on average. If targets lack
+// room, that follows from the longest time after which one of them expects to have some.
+func (ex *exchange) returnTime() time.Duration {
+	switch {
+	case ex.retryAfter > 0:
+		return roomFactor * ex.retryAfter
+	case ex.rejected:
+		// The backend server turns away part of its requests, whenever they come. A caller that
+		// returns soon can still get its answer on time.
+		return minRetryAfter
+	case ex.lastReason == cicadaseam.ReasonQueueFull, ex.lastReason == cicadaseam.ReasonQueueTimeout:
+		return 0
+	}
+	return noTargetRetryAfter
+}
+
 // retryJitter returns a random factor between 0.75 and 1.75.
 func (s *Selector) retryJitter() float64 {
 	s.mu.Lock()
