dispatch: the test of Retry-After knows the factor

TestRefusalTellsWhenToComeBack expected the time until a target has room as it is, and fails since refused callers return after four times that time (0.667 for a bound of 0.4). The bounds stay for a target that expects room after a quarter of the time, and a case for the limit of a third of the caller's remaining time is added.

--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -141,16 +141,29 @@
 	}
 }
 
+// Guards against callers that return before there is room, and against a time that they would
+// shorten themselves.
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
-	m := newFakeMesh(t, true)
-	m.add("a", full)
-	reply := m.serve(t, nil)
-	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
-	require.Equal(t, "Retry-After", reply.Headers[0].Name)
-	after, err := strconv.ParseFloat(reply.Headers[0].Value, 64)
-	require.NoError(t, err)
-	require.Greater(t, after, 0.1)
-	require.Less(t, after, 0.4)
+	tests := []struct {
+		room            time.Duration
+		atLeast, atMost float64 // seconds
+	}{
+		{200 * time.Millisecond / roomFactor, 0.1, 0.4},
+		{5 * time.Second, 0.6, 2*maxRetryAfterShare + 0.0005}, // of a caller that waits for two seconds, in milliseconds
+	}
+	for _, tt := range tests {
+		m := newFakeMesh(t, true)
+		answer := full
+		answer.RetryAfter = tt.room
+		m.add("a", answer)
+		reply := m.serve(t, nil)
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+		require.Equal(t, "Retry-After", reply.Headers[0].Name)
+		after, err := strconv.ParseFloat(reply.Headers[0].Value, 64)
+		require.NoError(t, err)
+		require.Greater(t, after, tt.atLeast)
+		require.Less(t, after, tt.atMost)
+	}
 }
 
 // Header fields that the mesh sets itself, and hop-by-hop fields, are not forwarded from a
