--- a/cmd/cicadaseam/process_test.go
+++ b/cmd/cicadaseam/process_test.go
@@ -111,29 +111,42 @@
 	require.Fail(t, "condition not met in time: "+what)
 }
 
-// testNode is a node process and the URLs of its addresses.
+// testNode is a node process, its settings and the URLs of its addresses.
 type testNode struct {
 	*process
+	file                             string
 	callURL, backendURL, operatorURL string
 }
 
 // startNode starts a node with settings of its own in a zone of its own. Its standard output
 // is written to out, or else collected.
 func startNode(t *testing.T, i int, logURL, level string, out io.Writer) testNode {
+	n := newNode(t, i, logURL, level)
+	n.start(t, binary, out)
+	return n
+}
+
+// newNode writes the settings of a node.
+func newNode(t *testing.T, i int, logURL, level string) testNode {
 	addrs := freeAddrs(t, 4)
 	text := fmt.Sprintf("[node]\nname = node-%d\nregion = us-southeast\ndeployment = georgia-east\nzone = atl-%s\n"+
 		"[listen]\ncalls = %s\nlinks = %s\nbackend = %s\noperator = %s\n[log]\nurl = %s\n[logging]\nlevel = %s\n",
 		i, []string{"north", "south", "east"}[i], addrs[0], addrs[1], addrs[2], addrs[3], logURL, level)
 	file := filepath.Join(t.TempDir(), "node.ini")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	p := &process{cmd: exec.Command(binary, "node", file)}
+	return testNode{file: file, callURL: "http://" + addrs[0], backendURL: "http://" + addrs[2], operatorURL: "http://" + addrs[3]}
+}
+
+// start starts the process of a node with a program.
+func (n *testNode) start(t *testing.T, program string, out io.Writer) {
+	p := &process{cmd: exec.Command(program, "node", n.file)}
 	p.cmd.Stderr, p.cmd.Stdout = p, p
 	if out != nil {
 		p.cmd.Stdout = out
 	}
 	require.NoError(t, p.cmd.Start())
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // it may have exited
-	return testNode{process: p, callURL: "http://" + addrs[0], backendURL: "http://" + addrs[2], operatorURL: "http://" + addrs[3]}
+	n.process = p
 }
 
 // get makes a request with a bearer token and returns the status and the body; the status is 0
@@ -220,43 +233,62 @@
 // drainUnderLoad ends a node with SIGTERM while the other nodes send calls, some of them to its
 // backend server, and requires that every call succeeds.
 func drainUnderLoad(t *testing.T, nodes []testNode) {
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	failures := map[string]int{} // by response body
-	succeeded := 0
-	for i := range 8 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				status, body := get(nodes[i%2].callURL+"/status/claim", "passenger-token")
-				mu.Lock()
-				if status == 200 {
-					succeeded++
-				} else {
-					failures[body]++
-				}
-				mu.Unlock()
-			}
-		}()
-	}
+	callers := startCallers(nodes[:2])
 	time.Sleep(500 * time.Millisecond)
 	require.NoError(t, nodes[2].cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, nodes[2].cmd.Wait(), nodes[2].logText())
 	time.Sleep(300 * time.Millisecond)
-	close(stop)
-	wg.Wait()
-	require.Empty(t, failures, "no call in flight fails")
-	require.Positive(t, succeeded)
+	callers.stop(t)
 	require.Contains(t, nodes[2].logText(), `"msg":"drained"`)
 }
 
+// callers call through nodes, one call after another each.
+type callers struct {
+	ended chan struct{}
+	wg    sync.WaitGroup
+
+	mu        sync.Mutex
+	succeeded int
+	failures  map[string]int // by response body
+}
+
+// startCallers starts eight callers.
+func startCallers(nodes []testNode) *callers {
+	c := &callers{ended: make(chan struct{}), failures: map[string]int{}}
+	for i := range 8 {
+		c.wg.Add(1)
+		go c.run(nodes[i%len(nodes)].callURL + "/status/claim")
+	}
+	return c
+}
+
+func (c *callers) run(url string) {
+	defer c.wg.Done()
+	for {
+		select {
+		case <-c.ended:
+			return
+		default:
+		}
+		status, body := get(url, "passenger-token")
+		c.mu.Lock()
+		if status == 200 {
+			c.succeeded++
+		} else {
+			c.failures[body]++
+		}
+		c.mu.Unlock()
+	}
+}
+
+// stop ends the callers and requires that every call succeeded.
+func (c *callers) stop(t *testing.T) {
+	close(c.ended)
+	c.wg.Wait()
+	require.Empty(t, c.failures, "no call fails")
+	require.Positive(t, c.succeeded)
+}
+
 // A node whose log nobody reads still answers its calls. Its lines at level debug fill the
 // pipe, to which a write then blocks.
 func TestUnreadLogBlocksNoCall(t *testing.T) {
