--- a/internal/bench/ideal/ideal.go
+++ b/internal/bench/ideal/ideal.go
@@ -15,7 +15,12 @@
 //	for _, r := range ideal.Run(load, ideal.Most) { ... }
 package ideal
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // step is the length of the steps in which time advances.
 const step = 20 * time.Millisecond
@@ -75,10 +80,7 @@
 
 // Run plays a load. The results are in the order of its kinds.
 func Run(load *Load, policy Policy) []Result {
-	p := &player{load: load, factor: 1, slots: map[string]float64{}, backlog: make([][]batch, len(load.Kinds)), results: make([]Result, len(load.Kinds))}
-	for service, n := range load.Slots {
-		p.slots[service] = n
-	}
+	p := &player{load: load, factor: 1, slots: maps.Clone(load.Slots), backlog: make([][]batch, len(load.Kinds)), results: make([]Result, len(load.Kinds))}
 	for i := range load.Kinds {
 		p.results[i].Kind = load.Kinds[i].Name
 	}
@@ -112,9 +114,7 @@
 		if c.Factor > 0 {
 			p.factor = c.Factor
 		}
-		for service, n := range c.Slots {
-			p.slots[service] = n
-		}
+		maps.Copy(p.slots, c.Slots)
 		p.changes++
 	}
 }
@@ -140,16 +140,27 @@
 	}
 	for _, group := range p.groups() {
 		if policy == Most {
-			for _, i := range p.shortestFirst(group) {
-				p.serveKind(i, p.backlogOf(i))
-			}
-			continue
+			p.serveMost(group)
+		} else {
+			p.serveAlike(group)
 		}
-		for range shareParts * len(group) {
-			if i, ok := p.leastServed(group); ok {
-				p.serveKind(i, p.load.Kinds[i].Rate*p.factor*step.Seconds()/shareParts)
-			}
+	}
+}
+
+func (p *player) serveMost(group []int) {
+	for _, i := range p.shortestFirst(group) {
+		p.serveKind(i, p.backlogOf(i))
+	}
+}
+
+// serveAlike serves small parts of the kind of which the smallest part was served so far.
+func (p *player) serveAlike(group []int) {
+	for range shareParts * len(group) {
+		i, ok := p.leastServed(group)
+		if !ok {
+			return
 		}
+		p.serveKind(i, p.load.Kinds[i].Rate*p.factor*step.Seconds()/shareParts)
 	}
 }
 
@@ -172,12 +183,8 @@
 
 // shortestFirst orders kinds by the slot time that a request takes at all services.
 func (p *player) shortestFirst(group []int) []int {
-	ordered := append([]int(nil), group...)
-	for i := 1; i < len(ordered); i++ {
-		for j := i; j > 0 && p.load.Kinds[ordered[j]].slotTime() < p.load.Kinds[ordered[j-1]].slotTime(); j-- {
-			ordered[j], ordered[j-1] = ordered[j-1], ordered[j]
-		}
-	}
+	ordered := slices.Clone(group)
+	slices.SortStableFunc(ordered, func(i, j int) int { return cmp.Compare(p.load.Kinds[i].slotTime(), p.load.Kinds[j].slotTime()) })
 	return ordered
 }
 
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -198,43 +198,41 @@
 func (c *Client) readResponse(conn *connpool.Conn, call *cicadaseam.MeshCall) (Result, bool) {
 	req := &http.Request{Method: call.Method}
 	for range maxResponses {
-		result, belongs, keepAlive := c.readOne(conn, req, call.ID)
-		if result.Err != nil {
+		result, matched, keepAlive := c.readOne(conn, req, call.ID)
+		switch {
+		case result.Err != nil:
 			return result, false
-		}
-		if belongs == ownResponse {
+		case matched == matchID:
 			return c.classify(result), keepAlive
-		}
-		if belongs == unidentifiedResponse {
+		case matched == matchUnidentified:
 			// A second copy of a response without an ID could not be told from the response
 			// to the next request, so the connection is not used for one.
 			return c.classify(result), false
-		}
-		if !keepAlive {
+		case !keepAlive:
 			return Result{Err: ErrMismatchedID}, false
 		}
 	}
 	return Result{Err: ErrTooManyStrayResponses}, false
 }
 
-// owner says to which request a response belongs.
-type owner uint8
+// match says whether a response belongs to the request that waits for one.
+type match uint8
 
 const (
-	strayResponse        owner = iota // to another request
-	ownResponse                       // echoes the ID of the request
-	unidentifiedResponse              // has no ID, and is taken for that to the request
+	matchNone         match = iota // the response echoes the ID of another request
+	matchID                        // it echoes the ID of the request
+	matchUnidentified              // it has no ID, and is taken for that to the request
 )
 
-// ownerOf returns to which request a response belongs, when the request with an ID waits for one.
-func ownerOf(status int, echoedID, id string) owner {
+// matchOf returns how a response matches the request with an ID.
+func matchOf(status int, echoedID, id string) match {
 	switch {
 	case echoedID == "" && (id == "" || status >= http.StatusMultipleChoices):
-		return unidentifiedResponse
+		return matchUnidentified
 	case echoedID == id:
-		return ownResponse
+		return matchID
 	}
-	return strayResponse
+	return matchNone
 }
 
 // classify sets Rejected in the response to a request. It replaces a successful one without
@@ -262,20 +260,20 @@
 
 // readOne reads one complete response, while the request with an ID waits for one. The body of a
 // stray response is not kept. keepAlive is false when the connection closes after it.
-func (c *Client) readOne(conn *connpool.Conn, req *http.Request, id string) (r Result, belongs owner, keepAlive bool) {
+func (c *Client) readOne(conn *connpool.Conn, req *http.Request, id string) (r Result, matched match, keepAlive bool) {
 	resp, err := conn.ReadResponse(req, maxResponseBody, func(resp *connpool.Response) bool {
-		belongs = ownerOf(resp.Status, resp.Header.Get(c.headers.RequestID), id)
-		return belongs != strayResponse
+		matched = matchOf(resp.Status, resp.Header.Get(c.headers.RequestID), id)
+		return matched != matchNone
 	})
 	if err != nil {
-		return Result{Err: err}, belongs, false
+		return Result{Err: err}, matched, false
 	}
 	if d := keepAliveTime(resp.Header.Get("Keep-Alive")); d > 0 {
 		conn.SetIdleTimeout(usableIdle(d))
 	}
 	r = Result{Status: resp.Status, Headers: http1.EndToEndHeaders(resp.Header), Body: resp.Body,
 		RateLimit: resp.Header.Get(c.headers.RateLimit), Leaving: resp.Header.Get(c.headers.Leaving) == "1", unframed: resp.Unframed, bodyErr: resp.BodyErr}
-	return r, belongs, !resp.Close
+	return r, matched, !resp.Close
 }
 
 // keepAliveTime returns the timeout parameter of a Keep-Alive header, or 0.
