--- a/internal/daemon/sidecar/builds.go
+++ b/internal/daemon/sidecar/builds.go
@@ -1,6 +1,9 @@
 package sidecar
 
-import "fmt"
+import (
+	"fmt"
+	"regexp"
+)
 
 // unknownBuild stands for the builds of nodes that do not tell theirs: those of earlier releases, and
 // of programs that were built outside of a checkout.
@@ -20,9 +23,14 @@
 	return lines
 }
 
-func knownBuild(commit string) string {
-	if commit == "" {
+// commitPattern matches the builds that release.Commit returns. Other texts do not become names of
+// metrics.
+var commitPattern = regexp.MustCompile(`^[0-9a-f]{1,40}\+?$`)
+
+// knownBuild returns a build, or unknownBuild if it is not the name of a commit.
+func knownBuild(build string) string {
+	if !commitPattern.MatchString(build) {
 		return unknownBuild
 	}
-	return commit
+	return build
 }
