ideal: the order of the kinds is computed once; the result is not called a bound

The groups by priority and their order were computed again in each step. The package comment said that the distance to its result is what a better policy could gain at most: the model decides step by step, and that is not proved to be optimal.

--- a/internal/bench/ideal/ideal.go
+++ b/internal/bench/ideal/ideal.go
@@ -6,8 +6,8 @@
 // at its mean speed. They start in the order of their priorities, at any time from their arrival
 // until the last at which they are on time. Nothing takes time but the requests themselves: no
 // transit, no warm-up and no report is late. A deployment serves fewer requests on time than this
-// model, because of the spread of its run times and all that it does not know; the distance shows
-// what a better policy could gain at most. Within a priority, a Policy decides.
+// model, because of the spread of its run times and all that it does not know. Within a priority, a
+// Policy decides. It decides step by step, so that its result is not proved to be the best possible.
 //
 // # Usage
 //
@@ -80,7 +80,7 @@
 
 // Run plays a load. The results are in the order of its kinds.
 func Run(load *Load, policy Policy) []Result {
-	p := &player{load: load, factor: 1, slots: maps.Clone(load.Slots), backlog: make([][]batch, len(load.Kinds)), results: make([]Result, len(load.Kinds))}
+	p := &player{load: load, factor: 1, slots: maps.Clone(load.Slots), groups: load.groups(), backlog: make([][]batch, len(load.Kinds)), results: make([]Result, len(load.Kinds))}
 	for i := range load.Kinds {
 		p.results[i].Kind = load.Kinds[i].Name
 	}
@@ -103,6 +103,7 @@
 	changes int // applied
 	factor  float64
 	slots   map[string]float64
+	groups  [][]int            // of kinds, by priority
 	left    map[string]float64 // slot time in seconds that this step has left
 	backlog [][]batch          // by kind, oldest first
 	results []Result
@@ -138,7 +139,7 @@
 	for service, n := range p.slots {
 		p.left[service] = n * step.Seconds()
 	}
-	for _, group := range p.groups() {
+	for _, group := range p.groups {
 		if policy == Most {
 			p.serveMost(group)
 		} else {
@@ -148,7 +149,7 @@
 }
 
 func (p *player) serveMost(group []int) {
-	for _, i := range p.shortestFirst(group) {
+	for _, i := range group {
 		p.serveKind(i, p.backlogOf(i))
 	}
 }
@@ -164,30 +165,21 @@
 	}
 }
 
-// groups returns the kinds by priority, the highest first.
-func (p *player) groups() (groups [][]int) {
+// groups returns the kinds by priority, the highest first, and within one by the slot time that a
+// request takes at all services.
+func (l *Load) groups() (groups [][]int) {
 	byPriority := map[int][]int{}
-	lowest := 0
-	for i := range p.load.Kinds {
-		priority := p.load.Kinds[i].Priority
-		byPriority[priority] = append(byPriority[priority], i)
-		lowest = max(lowest, priority)
+	for i := range l.Kinds {
+		byPriority[l.Kinds[i].Priority] = append(byPriority[l.Kinds[i].Priority], i)
 	}
-	for priority := 0; priority <= lowest; priority++ {
-		if group := byPriority[priority]; len(group) > 0 {
-			groups = append(groups, group)
-		}
+	for _, priority := range slices.Sorted(maps.Keys(byPriority)) {
+		group := byPriority[priority]
+		slices.SortStableFunc(group, func(i, j int) int { return cmp.Compare(l.Kinds[i].slotTime(), l.Kinds[j].slotTime()) })
+		groups = append(groups, group)
 	}
 	return groups
 }
 
-// shortestFirst orders kinds by the slot time that a request takes at all services.
-func (p *player) shortestFirst(group []int) []int {
-	ordered := slices.Clone(group)
-	slices.SortStableFunc(ordered, func(i, j int) int { return cmp.Compare(p.load.Kinds[i].slotTime(), p.load.Kinds[j].slotTime()) })
-	return ordered
-}
-
 func (k *Kind) slotTime() time.Duration {
 	total := k.Hold
 	for _, d := range k.Calls {
