Review: stand-ins for scripts; case 1, requests that wait reach a backend server after it has left

A queue beside a backend server that has said draining goes on to start requests for up to 0.9 of their latency objective, later than drain_ms.

--- /dev/null
+++ b/review/_stand/backend.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// arrival is one request that reached a backend server.
+type arrival struct {
+	id   string
+	at   time.Time
+	ran  bool
+	node string // the machine of the backend server
+}
+
+// backend is a backend server: it runs a request of work time, echoes its ID, and answers 421 to a
+// request for another instance.
+type backend struct {
+	machine *machine
+	id      string
+	slots   int
+	work    time.Duration
+	server  *http.Server
+
+	mu       sync.Mutex
+	sequence int
+	beating  bool
+	state    string
+	arrivals []arrival
+}
+
+// startBackend starts a backend server at the address of the machine.
+func (m *machine) startBackend(id string, slots int, work time.Duration) (*backend, error) {
+	l, err := net.Listen("tcp", m.addr(portApp))
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{machine: m, id: id, slots: slots, work: work, beating: true, state: "ready"}
+	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
+	go func() { _ = b.server.Serve(l) }()
+	go b.keepBeating()
+	m.world.logf("%s: backend server %s of %s started", m.name, id, m.service)
+	return b, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Cicadaseam-Instance-Id", b.id)
+		return
+	}
+	id := r.Header.Get("X-Cicadaseam-Attempt-Id")
+	a := arrival{id: id, at: time.Now(), node: b.machine.name}
+	expected := r.Header.Get("X-Cicadaseam-Expected-Instance")
+	a.ran = expected == "" || expected == b.id
+	b.mu.Lock()
+	b.arrivals = append(b.arrivals, a)
+	b.mu.Unlock()
+	w.Header().Set("X-Cicadaseam-Attempt-Id", id)
+	w.Header().Set("X-Cicadaseam-Instance-Id", b.id)
+	if !a.ran {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	hash := fnv.New64a()
+	size, _ := io.Copy(hash, r.Body)
+	time.Sleep(b.work)
+	b.machine.world.logf("%s: %s ran %s %s, body of %d bytes", b.machine.name, b.id, id, r.URL.Path, size)
+	w.Header().Set("X-Cicadaseam-Response-Seal", fmt.Sprintf("%s.%x", b.id, hash.Sum64()))
+	_, _ = io.WriteString(w, "done "+id)
+}
+
+func (b *backend) beat(state string) beat {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	return beat{Service: b.machine.service, Address: b.machine.addr(portApp), Zone: b.machine.zone, Version: "v1", Slots: b.slots, State: state, Sequence: b.sequence}
+}
+
+func (b *backend) keepBeating() {
+	for {
+		b.mu.Lock()
+		beating, state := b.beating, b.state
+		b.mu.Unlock()
+		if !beating {
+			return
+		}
+		b.machine.call(http.MethodPut, b.id, b.beat(state))
+		time.Sleep(beatPeriod)
+	}
+}
+
+func (b *backend) stopBeating() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.beating = false
+}
+
+// leaving makes the next heartbeats say that the server is draining.
+func (b *backend) leaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state = "draining"
+}
+
+func (b *backend) stop() { _ = b.server.Close() }
+
+func (b *backend) all() []arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]arrival(nil), b.arrivals...)
+}
