--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -31,7 +31,9 @@
 	sequence int
 	beating  bool
 	state    string
+	born     int64 // 0 where the backend servers do not tell it
 	arrivals []arrival
+	down     bool
 }
 
 // startBackend starts a backend server at the address of the machine.
@@ -54,6 +56,9 @@
 		w.Header().Set("X-Cicadaseam-Instance-Id", b.id)
 		return
 	}
+	if r.URL.Path == poisonPath {
+		b.crash(r)
+	}
 	id := r.Header.Get("X-Cicadaseam-Attempt-Id")
 	a := arrival{id: id, at: time.Now(), node: b.machine.name}
 	expected := r.Header.Get("X-Cicadaseam-Expected-Instance")
@@ -79,18 +84,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
-	return beat{Service: b.machine.service, Address: b.machine.addr(portApp), Zone: b.machine.zone, Version: "v1", Slots: b.slots, State: state, Sequence: b.sequence}
+	return beat{Service: b.machine.service, Address: b.machine.addr(portApp), Zone: b.machine.zone, Version: "v1", Slots: b.slots, State: state, Sequence: b.sequence, Born: b.born}
 }
 
 func (b *backend) keepBeating() {
 	for {
 		b.mu.Lock()
-		beating, state := b.beating, b.state
+		beating, state, id, down := b.beating, b.state, b.id, b.down
 		b.mu.Unlock()
 		if !beating {
 			return
 		}
-		b.machine.call(http.MethodPut, b.id, b.beat(state))
+		if !down {
+			b.machine.call(http.MethodPut, id, b.beat(state))
+		}
 		time.Sleep(beatPeriod)
 	}
 }
--- a/review/_stand/departure.go
+++ b/review/_stand/departure.go
@@ -11,7 +11,7 @@
 
 const (
 	// history is how many backend servers have left this deployment before the trouble.
-	history = 600
+	history = 2000
 	// lateBeat is how late the heartbeat arrives, and lingering how long the backend server serves
 	// after it has withdrawn itself.
 	lateBeat  = 2500 * time.Millisecond
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(w *world) int{
 	"memory":    memoryCase,
 	"departure": departureCase,
+	"poison":    poisonCase,
+	"roll":      rollCase,
 	"queued":    queuedCase,
 }
 
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -48,6 +48,11 @@
 	machines []*machine
 	lastID   atomic.Int64
 	trouble  bool
+
+	// keepIDs is set if backend servers start again under the IDs that they had.
+	keepIDs   bool
+	crashMu   sync.Mutex
+	crashList []crashed
 }
 
 func newWorld(record io.Writer, trouble bool) (*world, error) {
@@ -124,6 +129,8 @@
 	cmd    *exec.Cmd
 	done   chan struct{}
 	status string
+	// touchAt is when the machine is in touch again after the end and the start of a process.
+	touchAt time.Time
 }
 
 func (w *world) addMachine(zone, service string) *machine {
@@ -191,6 +198,7 @@
 	done := make(chan struct{})
 	m.mu.Lock()
 	m.cmd, m.done, m.status = cmd, done, ""
+	m.touchAt = time.Now().Add(livenessTime)
 	m.mu.Unlock()
 	m.world.logf("%s: process started", m.name)
 	go func() {
@@ -208,6 +216,26 @@
 	return nil
 }
 
+// inTouch reports whether the process has run for livenessTime without a signal.
+func (m *machine) inTouch() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status == "" && time.Now().After(m.touchAt)
+}
+
+// restart ends the process with SIGTERM, as the platform does, and starts the next one.
+func (m *machine) restart() {
+	m.mu.Lock()
+	done := m.done
+	m.touchAt = time.Now().Add(time.Hour)
+	m.mu.Unlock()
+	m.world.logf("%s: SIGTERM", m.name)
+	m.signal(syscall.SIGTERM)
+	<-done
+	time.Sleep(restartDelay)
+	_ = m.run()
+}
+
 func (m *machine) signal(s os.Signal) {
 	m.mu.Lock()
 	cmd := m.cmd
@@ -301,6 +329,7 @@
 	State    string `json:"state"`
 	ColdMS   int    `json:"cold_ms"`
 	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born,omitempty"`
 }
 
 // call makes a call to the control address of the machine. It returns the status, or 0.
