--- a/review/_stand/poison.go
+++ b/review/_stand/poison.go
@@ -78,7 +78,7 @@
 	sent := map[string]poison{}
 	for i := 0; time.Since(began) < length; i++ {
 		next := time.Now().Add(period)
-		m := w.machines[i%len(w.machines)]
+		m := fronts[i%len(fronts)] // of the same service, so that the caller is the same
 		p := poison{at: time.Now(), inTouch: m.inTouch()}
 		a := m.newClient().send(w.nextID("p-"), http.MethodPost, "hulo84.example", poisonPath, []byte("poison"), 1500*time.Millisecond)
 		sent[a.id] = p
