--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -26,6 +26,8 @@
 	slots   int
 	work    time.Duration
 	server  *http.Server
+	// listener is that of the server.
+	listener net.Listener
 
 	mu       sync.Mutex
 	sequence int
@@ -43,13 +45,19 @@
 		return nil, err
 	}
 	b := &backend{machine: m, id: id, slots: slots, work: work, beating: true, state: "ready"}
-	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
-	go func() { _ = b.server.Serve(l) }()
+	b.serve(l)
 	go b.keepBeating()
 	m.world.logf("%s: backend server %s of %s started", m.name, id, m.service)
 	return b, nil
 }
 
+// serve serves the connections of a listener.
+func (b *backend) serve(l net.Listener) {
+	server := &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
+	b.listener, b.server = l, server
+	go func() { _ = server.Serve(l) }()
+}
+
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
--- a/review/_stand/poison.go
+++ b/review/_stand/poison.go
@@ -144,6 +144,7 @@
 	w.crashMu.Unlock()
 	w.logf("%s: backend server %s crashes", b.machine.name, b.id)
 	server := b.server
+	_ = b.listener.Close() // as at the end of a process, before its connections are closed
 	go func() {
 		_ = server.Close()
 		time.Sleep(downTime)
@@ -164,7 +165,6 @@
 		b.id = b.machine.world.nextID("i-")
 	}
 	b.born, b.sequence, b.down = time.Now().UnixMilli(), 0, false
-	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
-	go func() { _ = b.server.Serve(l) }()
+	b.serve(l)
 	b.machine.world.logf("%s: backend server %s starts again", b.machine.name, b.id)
 }
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -91,6 +91,10 @@
 	for _, m := range w.machines {
 		m.kill()
 	}
+	if os.Getenv("KEEP") != "" {
+		w.logf("logs in %s", w.dir)
+		return
+	}
 	_ = os.RemoveAll(w.dir)
 }
 
