--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/cicadasidecar ] && [ -x target/review-stand ] || exit 2
-target/review-stand roll "$here/record.txt"
+target/review-stand tenants "$here/record.txt"
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -16,6 +16,7 @@
 	at   time.Time
 	ran  bool
 	node string // the machine of the backend server
+	key  bool   // whether the request still had the client's key
 }
 
 // backend is a backend server: it runs a request of work time, echoes its ID, and answers 421 to a
@@ -70,6 +71,7 @@
 	id := r.Header.Get("X-Cicadaseam-Attempt-Id")
 	a := arrival{id: id, at: time.Now(), node: b.machine.name}
 	expected := r.Header.Get("X-Cicadaseam-Expected-Instance")
+	a.key = r.Header.Get("Authorization") != ""
 	a.ran = expected == "" || expected == b.id
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, a)
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -21,6 +21,7 @@
 // client sends requests to the node of one machine, each on a kept connection or a new one.
 type client struct {
 	machine *machine
+	key     string // API key, or empty
 	http    *http.Client
 }
 
@@ -39,6 +40,9 @@
 	req.Host = host
 	req.Header.Set("X-Cicadaseam-Attempt-Id", id)
 	req.Header.Set("X-Cicadaseam-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	c.http.Timeout = deadline
 	resp, err := c.http.Do(req)
 	if err == nil {
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -18,6 +18,7 @@
 	"departure": departureCase,
 	"poison":    poisonCase,
 	"roll":      rollCase,
+	"tenants":   tenantsCase,
 	"queued":    queuedCase,
 }
 
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -49,6 +49,7 @@
 	lastID   atomic.Int64
 	trouble  bool
 
+	strictKeys bool // whether strict_revoke is among the bounds
 	// keepIDs is set if backend servers start again under the IDs that they had.
 	keepIDs   bool
 	crashMu   sync.Mutex
@@ -98,12 +99,25 @@
 	_ = os.RemoveAll(w.dir)
 }
 
-// putConfig writes the operator's configuration.
-func (w *world) putConfig(version int, routes []route) {
+// putConfig writes the operator's configuration, of a deployment without tenants.
+func (w *world) putConfig(version int, routes []route) { w.putTenants(version, routes, nil) }
+
+type tenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api_keys"`
+	Rate  float64  `json:"rate_per_s,omitempty"`
+	Burst float64  `json:"burst,omitempty"`
+}
+
+// putTenants writes the operator's configuration. It has no field tenants if the list is nil.
+func (w *world) putTenants(version int, routes []route, tenants []tenant) {
 	config := map[string]any{
 		"version": version, "routes": routes, "services": []any{}, "base_version": version - 1,
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
+	if tenants != nil {
+		config["tenants"] = tenants
+	}
 	data, _ := json.Marshal(config)
 	w.store.Write("keyed.op", "config", data)
 	w.logf("the store acknowledged configuration %d", version)
@@ -148,6 +162,11 @@
 
 // settings is the text of platform/node.ini.tmpl for the machine.
 func (m *machine) settings() string {
+	keys, quota := "", ""
+	if m.world.strictKeys {
+		quota = "window = 5s\novershoot = 0.1\nslack = 20\n"
+		keys = "strict = true\nrevoke = 5000ms\n"
+	}
 	return fmt.Sprintf(`[node]
 name = %s
 zone = %s
@@ -172,14 +191,14 @@
 window = 10s
 
 [quota]
-
+%s
 [shutdown]
 grace = 6s
 
 [keys]
-
+%s
 [rollout]
-`, m.name, m.zone, m.service, m.addr(portCalls), m.addr(portReady), m.addr(portControl), m.addr(portLinks), m.addr(portMetrics), m.world.addr(200, portStore), m.addr(portApp))
+`, m.name, m.zone, m.service, m.addr(portCalls), m.addr(portReady), m.addr(portControl), m.addr(portLinks), m.addr(portMetrics), m.world.addr(200, portStore), m.addr(portApp), quota, keys)
 }
 
 // run starts the process of the machine.
