target: name crashes by the process that saw them, not by the server's ID

Callers saw a request that crashes backend servers crash one every 2 s, and orders that ran beside it lost with 502, where the servers start again under the ID that they had.

Cause: a crash was named by the server's ID and a count of its crashes that begins anew with each start, so all crashes of a server had one name. The quarantine counts each name once: it took later crashes for late copies of the first mark, and a cleared mark hid later crashes for 10 minutes. The same happened when the node beside the server started again between two crashes.

Change: the name is the ID of the process and the number of crashes that it has seen of any server; neither starts anew. Other nodes only compare names, so older builds read them. The log line of a crash has the server's ID and start.

--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -175,7 +175,7 @@
 	n.delayEstimator = transit.New()
 	n.senderID = transit.SenderID(s.peerAddr(), n.epoch)
 	n.rollouts = newRollouts(n)
-	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
+	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithProcess(n.senderID), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
 		target.WithDeparturesKnown(n.joined.Load), target.WithOnResponse(n.rollouts.recordResponse))
 	n.syncer = revision.New(n.platform.Source, n.fetchUpdate, revision.WithLogger(n.logger), revision.WithOnChange(n.revisionChanged), revision.WithIsReader(n.readsSource),
 		revision.WithReadObserver(n.readObserver()), revision.WithOnOrders(n.rollouts.addOrders))
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +15,7 @@
 // backend server.
 type Guard interface {
 	// RecordCrash takes the fingerprints of the requests that were running at a crash.
-	// crash identifies the crash.
+	// crash identifies the crash among those of all backend servers.
 	RecordCrash(now time.Time, crash string, fingerprints []uint64)
 	RecordSuccess(now time.Time, fingerprint uint64)
 }
@@ -29,6 +29,18 @@
 // WithGuard sets the Guard that records crashes and successful requests.
 func WithGuard(g Guard) Option { return func(t *Target) { t.guard = g } }
 
+// WithProcess sets the ID of this process among those of all nodes and their restarts. It is part
+// of the IDs of crashes.
+func WithProcess(id uint64) Option { return func(t *Target) { t.process = id } }
+
+// nextCrashID returns the ID of the next crash. A backend server may start again under the ID that it
+// had, and a node beside it too, so that neither the server's ID nor a count of its crashes tells two
+// crashes apart: the process counts the crashes of all servers that it sees. t.mu must be held.
+func (t *Target) nextCrashID() string {
+	t.crashCount++
+	return strconv.FormatUint(t.process, 36) + "/" + strconv.Itoa(t.crashCount)
+}
+
 // runningRequest counts the current runs of one request at the backend server.
 type runningRequest struct {
 	runs    int
@@ -121,14 +133,14 @@
 	s.crashedAt = now
 	s.backoffUntil = now.Add(minBackoff)
 	s.queue.RefuseAll()
-	s.crashCount++
-	crash := fmt.Sprintf("%s/%d", s.instance.ID, s.crashCount)
+	crash := t.nextCrashID()
+	start := s.instance.StartUnixMilli
 	fingerprints := make([]uint64, 0, len(s.runningFingerprints))
 	for f := range s.runningFingerprints {
 		fingerprints = append(fingerprints, f)
 	}
 	t.mu.Unlock()
-	t.logger.Info("backend server crashed", zap.String("crash", crash), zap.Int("running", len(fingerprints)))
+	t.logger.Info("backend server crashed", zap.String("crash", crash), zap.String("instance", s.id), zap.Int64("born", start), zap.Int("running", len(fingerprints)))
 	t.guard.RecordCrash(now, crash, fingerprints)
 	t.onChange()
 }
--- /dev/null
+++ b/internal/mesh/target/crash_test.go
@@ -0,0 +1,76 @@
+package target
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
+)
+
+// crashWhileRunning announces an instance, which crashes while it runs the request with a fingerprint.
+func crashWhileRunning(t *testing.T, target *Target, x cicadaseam.Instance, fingerprint uint64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = nc.Read(make([]byte, 1024))
+		_ = l.Close()
+		_ = nc.Close()
+	}()
+	x.Addr = l.Addr().String()
+	target.Announce(time.Now(), x)
+	call := request("q")
+	call.Fingerprint = fingerprint
+	answer := target.Run(context.Background(), call)
+	require.True(t, answer.ReachedBackend, "reason %v", answer.Reason)
+}
+
+// Guards against a request that crashes backend servers again and again because the crashes of a
+// server that keeps its ID have the same name and count once.
+func TestCrashesOfAServerThatKeepsItsIDCountEach(t *testing.T) {
+	const poison, crashes = 7, 2
+	g := guard.New()
+	target := New(headers, WithGuard(g))
+	for i := range int64(crashes) {
+		crashWhileRunning(t, target, ready("a", 1, 1000+i), poison)
+	}
+	_, refused := g.Refused(time.Now(), poison)
+	require.True(t, refused)
+}
+
+// Guards against the same when the node beside the server starts again between the crashes and
+// counts them from 1, as seen by another node.
+func TestCrashesSeenByARestartedNodeCountEach(t *testing.T) {
+	const poison = 7
+	other := guard.New()
+	for process := range uint64(2) {
+		g := guard.New()
+		crashWhileRunning(t, New(headers, WithGuard(g), WithProcess(process)), ready("a", 1, 1000), poison)
+		other.MergeMarks(time.Now(), g.NextMarks())
+	}
+	_, refused := other.Refused(time.Now(), poison)
+	require.True(t, refused)
+}
+
+// Guards against crashes that do not count because the mark of an earlier crash was
+// cleared and the crash of its next start under the same ID has that name.
+func TestClearedMarkDoesNotHideTheCrashOfALaterStart(t *testing.T) {
+	const poison = 7
+	g := guard.New()
+	target := New(headers, WithGuard(g))
+	crashWhileRunning(t, target, ready("a", 1, 1000), poison)
+	g.RecordSuccess(time.Now(), poison)
+	for i := range int64(2) {
+		crashWhileRunning(t, target, ready("a", 1, 1001+i), poison)
+	}
+	_, refused := g.Refused(time.Now(), poison)
+	require.True(t, refused)
+}
--- a/internal/mesh/target/server.go
+++ b/internal/mesh/target/server.go
@@ -32,8 +32,6 @@
 	knownFields map[string]bool
 	// crashedAt is when a crash was noticed, until a request that was sent later is answered.
 	crashedAt time.Time
-	// crashCount numbers the crashes, so that each has an ID of its own.
-	crashCount int
 }
 
 // slots returns the number of requests that may run at the server.
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -63,12 +63,15 @@
 	sent    atomic.Int64  // requests sent to the backend server
 	lease   time.Duration // protected by mu
 
-	mu       sync.Mutex
-	tracker  instanceTracker
-	running  map[string]runningRequest // by request ID
-	guard    Guard
-	server   *server
-	onChange func()
+	mu      sync.Mutex
+	tracker instanceTracker
+	running map[string]runningRequest // by request ID
+	guard   Guard
+	process uint64 // ID of this process
+	// crashCount is the number of crashes of all instances.
+	crashCount int
+	server     *server
+	onChange   func()
 	// onDeparted is called with an instance that departed by its answers.
 	onDeparted func(cicadaseam.Departure)
 	// departuresKnown reports whether the departures before the start of this process are known.
--- a/member.go
+++ b/member.go
@@ -127,8 +127,8 @@
 // removes such a mark.
 type CrashMark struct {
 	Fingerprint uint64 `msgpack:"f"`
-	// CrashID identifies the crash by the node and the number of crashes of its backend server so
-	// far.
+	// CrashID identifies the crash by the process of the node and the number of crashes that the
+	// process has seen. Other processes only compare it.
 	CrashID string `msgpack:"c"`
 	// Cleared removes the mark: a request with the fingerprint has succeeded since the crash.
 	Cleared bool `msgpack:"k"`
