dispatch, target: check the quarantine before each attempt and each start

It was checked once, on arrival at the first node. A request that waited in a queue, or was retried after its first attempt had crashed a server, was sent all the same, as were those of a node that does not know the marks.

Change: dispatch checks before each attempt, and the target before it sends a request that got its slot. A target's refusal is not tried elsewhere.

TestRequestThatIsRefusedMeanwhileDoesNotStart, TestRequestThatIsRefusedMeanwhileIsNotRetried and the case "quarantined" of TestWhatIsSentAgainAndWhatTheCallerHears fail without the change.

--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -280,9 +280,9 @@
 	ex := d.prepare(r, rt, table, customer, outer)
 	stats.Route, stats.Service, stats.Priority = rt.Name, ex.call.Service, ex.call.Priority
 	stats.Returning, stats.Budget = ex.callerRetry, ex.latencyDeadline.Sub(r.Arrived)
-	if wait, refused := d.guard.Refused(time.Now(), ex.call.Fingerprint); refused {
+	if d.isQuarantined(ex) {
 		stats.Reason = cicadaseam.ReasonQuarantine
-		return d.refuse(ex, stats.Reason, wait), stats
+		return d.refuse(ex, stats.Reason, ex.retryAfter), stats
 	}
 	ctx, cancel := context.WithDeadline(ctx, ex.deadline)
 	defer cancel()
@@ -310,6 +310,9 @@
 			ex.lastReason = reason
 			break
 		}
+		if d.isQuarantined(ex) { // it may have crashed the servers that it was sent to
+			break
+		}
 		probing := d.mayProbe(ex)
 		a, ok := d.tryNext(ctx, now, ex, probing)
 		switch {
@@ -324,6 +327,16 @@
 	return d.giveUp(ex)
 }
 
+// isQuarantined reports whether a request is refused because it crashes backend servers, and sets
+// when its caller may return.
+func (d *Dispatcher) isQuarantined(ex *exchange) bool {
+	wait, refused := d.guard.Refused(time.Now(), ex.call.Fingerprint)
+	if refused {
+		ex.lastReason, ex.retryAfter = cicadaseam.ReasonQuarantine, wait
+	}
+	return refused
+}
+
 // attempt is a target to which a request was sent, and its answer.
 type attempt struct {
 	selected Selection
--- a/internal/mesh/dispatch/dispatch_test.go
+++ b/internal/mesh/dispatch/dispatch_test.go
@@ -76,10 +76,10 @@
 	m.answers[addr] = func(*cicadaseam.MeshCall) *cicadaseam.MeshAnswer { a := answer; return &a }
 }
 
-func (m *fakeMesh) serve(t *testing.T, change func(*Request)) *Reply {
+func (m *fakeMesh) serve(t *testing.T, change func(*Request), opts ...Option) *Reply {
 	t.Helper()
-	d := New("self", "north", "portal", m, m, noLocal{}, m, rand.New(rand.NewPCG(1, 1)),
-		WithRetryBudget(NewRetryBudget(time.Now().Add(-time.Minute), RetryBudgetConfig{Ratio: 1, Slack: 100, Window: 10 * time.Second})))
+	budget := NewRetryBudget(time.Now().Add(-time.Minute), RetryBudgetConfig{Ratio: 1, Slack: 100, Window: 10 * time.Second})
+	d := New("self", "north", "portal", m, m, noLocal{}, m, rand.New(rand.NewPCG(1, 1)), append(opts, WithRetryBudget(budget))...)
 	r := &Request{Method: "POST", Host: "a.example", Path: "/x/1", RequestURI: "/x/1", Header: http.Header{}, Arrived: time.Now()}
 	r.Header.Set(d.Headers.RequestID, "q1")
 	r.Header.Set(d.Headers.Timeout, "2000")
@@ -98,7 +98,9 @@
 	full     = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonQueueFull, RetryAfter: 200 * time.Millisecond}
 	lost     = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeUnknown, ReachedBackend: true, Reason: cicadaseam.ReasonLinkLost}
 	unsent   = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonLinkLost}
-	timedOut = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeUnknown, ReachedBackend: true, Reason: cicadaseam.ReasonDeadline}
+	// quarantined was refused by a target that knows that the request crashes servers.
+	quarantined = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonQuarantine, RetryAfter: time.Second}
+	timedOut    = cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeUnknown, ReachedBackend: true, Reason: cicadaseam.ReasonDeadline}
 )
 
 func TestWhatIsSentAgainAndWhatTheCallerHears(t *testing.T) {
@@ -123,6 +125,7 @@
 		{"idempotent: failed, then a full queue; the failure is passed on", true, []cicadaseam.MeshAnswer{failure, full}, 500, 2},
 		{"idempotent: failed for lack of retry budget; a retry would need more of it", true, []cicadaseam.MeshAnswer{starved, ran}, 500, 1},
 		{"idempotent: no more than two backend servers", true, []cicadaseam.MeshAnswer{failure, failure, ran}, 500, 2},
+		{"quarantined: other servers would crash too", true, []cicadaseam.MeshAnswer{quarantined, ran}, 503, 1},
 		{"no target", true, nil, 503, 0},
 	}
 	for _, tt := range tests {
@@ -141,6 +144,22 @@
 	}
 }
 
+// refuseAfter refuses every request once the target has been sent one.
+type refuseAfter struct{ *fakeMesh }
+
+func (g refuseAfter) Refused(time.Time, uint64) (time.Duration, bool) {
+	return time.Second, len(g.sentTo) > 0
+}
+
+// Guards against the retry of a request that is refused since its first attempt crashed a server.
+func TestRequestThatIsRefusedMeanwhileIsNotRetried(t *testing.T) {
+	m := newFakeMesh(t, true)
+	m.add("0", lost)
+	m.add("1", ran)
+	require.Equal(t, http.StatusBadGateway, m.serve(t, nil, WithGuard(refuseAfter{m})).Status)
+	require.Equal(t, []string{"0"}, m.sentTo)
+}
+
 // Guards against callers that return before there is room, and against a time that they would
 // shorten themselves.
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
--- a/internal/mesh/dispatch/reply.go
+++ b/internal/mesh/dispatch/reply.go
@@ -37,7 +37,7 @@
 			return false
 		}
 	}
-	retry := ctx.Err() == nil && ex.reachedBackends < max(ex.route.MaxAttempts, 1) && !a.CallRefused
+	retry := ctx.Err() == nil && a.Reason != cicadaseam.ReasonQuarantine && ex.reachedBackends < max(ex.route.MaxAttempts, 1) && !a.CallRefused
 	d.logger.Info("attempt failed", zap.String("request", ex.call.ID), zap.String("route", ex.route.Name), zap.String("target", selected.Candidate.Node), zap.String("version", selected.Candidate.Version),
 		zap.Stringer("outcome", a.Outcome), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Duration("queued", a.QueueTime), zap.Duration("ran", a.BackendTime), zap.Duration("room", a.RetryAfter), zap.Bool("again", retry),
--- a/internal/mesh/dispatch/retryafter.go
+++ b/internal/mesh/dispatch/retryafter.go
@@ -83,6 +83,8 @@
 // room, that follows from the longest time after which one of them expects to have some.
 func (ex *exchange) returnTime() time.Duration {
 	switch {
+	case ex.lastReason == cicadaseam.ReasonQuarantine:
+		return ex.retryAfter
 	case ex.retryAfter > 0:
 		return roomFactor * ex.retryAfter
 	case ex.rejected:
--- a/internal/mesh/target/crash.go
+++ b/internal/mesh/target/crash.go
@@ -12,12 +12,14 @@
 )
 
 // Guard records which requests succeeded and which were running at a crash of the
-// backend server.
+// backend server, and refuses those that crash it.
 type Guard interface {
 	// RecordCrash takes the fingerprints of the requests that were running at a crash.
 	// crash identifies the crash among those of all backend servers.
 	RecordCrash(now time.Time, crash string, fingerprints []uint64)
 	RecordSuccess(now time.Time, fingerprint uint64)
+	// Refused reports whether a request is refused, and for how much longer.
+	Refused(now time.Time, fingerprint uint64) (time.Duration, bool)
 }
 
 type noGuard struct{}
@@ -26,6 +28,8 @@
 
 func (noGuard) RecordSuccess(time.Time, uint64) {}
 
+func (noGuard) Refused(time.Time, uint64) (time.Duration, bool) { return 0, false }
+
 // WithGuard sets the Guard that records crashes and successful requests.
 func WithGuard(g Guard) Option { return func(t *Target) { t.guard = g } }
 
--- a/internal/mesh/target/crash_test.go
+++ b/internal/mesh/target/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,3 +75,36 @@
 	_, refused := g.Refused(time.Now(), poison)
 	require.True(t, refused)
 }
+
+// refusing is a guard that refuses every request once it is set.
+type refusing struct {
+	noGuard
+	set atomic.Bool
+}
+
+func (g *refusing) Refused(time.Time, uint64) (time.Duration, bool) { return time.Second, g.set.Load() }
+
+// Guards against a request that starts from the queue, and crashes a server, though it is refused
+// since two others crashed.
+func TestRequestThatIsRefusedMeanwhileDoesNotStart(t *testing.T) {
+	s := newFakeServer(t)
+	g := &refusing{}
+	target := New(headers, WithGuard(g))
+	x := ready("a", 1, 0)
+	x.Addr = s.addr
+	target.Announce(time.Now(), x)
+	answers := make(chan *cicadaseam.MeshAnswer, 1)
+	for range 2 {
+		go target.Run(context.Background(), request("q"))
+	}
+	require.Eventually(t, func() bool { return s.running.Load() == 2 }, 2*time.Second, time.Millisecond)
+	go func() { answers <- target.Run(context.Background(), request("poison")) }()
+	require.Eventually(t, func() bool { return target.Load(time.Now()).Queued == 1 }, 2*time.Second, time.Millisecond)
+	g.set.Store(true)
+	close(s.release)
+	answer := <-answers
+	require.Equal(t, cicadaseam.OutcomeNotRun, answer.Outcome)
+	require.Equal(t, cicadaseam.ReasonQuarantine, answer.Reason)
+	require.Equal(t, time.Second, answer.RetryAfter)
+	require.Eventually(t, func() bool { return target.Load(time.Now()).InFlight == 0 }, 2*time.Second, time.Millisecond)
+}
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -36,6 +36,11 @@
 		t.releaseSlot(s, call.Nested)
 		return t.refusal(s, cicadaseam.ReasonDeadline, 0)
 	}
+	// It may have begun to crash servers while it waited, or the node that sent it does not know that.
+	if wait, refused := t.guard.Refused(time.Now(), call.Fingerprint); refused {
+		t.releaseSlot(s, call.Nested)
+		return t.refusal(s, cicadaseam.ReasonQuarantine, wait)
+	}
 	answer := t.send(ctx, s, call, remaining)
 	answer.QueueTime = queueTime
 	return answer
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -283,6 +283,8 @@
 
 func (c *crashRecorder) RecordSuccess(time.Time, uint64) {}
 
+func (c *crashRecorder) Refused(time.Time, uint64) (time.Duration, bool) { return 0, false }
+
 // A connection that breaks while the server still listens is not a crash. If the server
 // no longer listens, the requests that it was running are reported.
 func TestCrashIsDistinguishedFromClosedConnection(t *testing.T) {
