quarantine: remember marks for longer than a refusal lasts

A request that crashes servers and comes every 25 s was never refused: the mark of its last crash was forgotten after 20 s, the length of the first refusal.

Change: marks and probations of the sidecar last 2 minutes, apart from the length of a refusal, which stays. Entries are searched for expired ones only when one can have expired, since they now stay longer.

TestRareRequestIsRefusedToo: 12 of 12 arrivals ran with the memory of before, at most 5 run now.

--- a/internal/call/quarantine/quarantine.go
+++ b/internal/call/quarantine/quarantine.go
@@ -4,10 +4,11 @@
 //
 // A crash of a backend server marks the fingerprint of each request that it was
 // running. The marks are sent to all nodes at once. A fingerprint that two crashes
-// mark within a period is refused for another period. A request that succeeds loses its
-// marks, so that a request that merely was in flight at a crash is not refused for that
-// crash. When a refusal ends and the fingerprint is still marked, it is on probation
-// for another period: one more crash refuses it again, for twice as long.
+// mark is refused for a period, if the second comes before the mark of the first is forgotten. A
+// request that succeeds loses its marks, so that a request that merely was in flight at a crash is
+// not refused for that crash. When a refusal ends and the fingerprint is still marked, it is on
+// probation: one more crash refuses it again, for twice as long. Marks and probations last a period
+// or, if that is longer, the memory: a request may come again more rarely than once in a period.
 //
 // # Invariants
 //
@@ -58,10 +59,13 @@
 // that reads no clock, and is not safe for concurrent use.
 type Quarantine struct {
 	period  time.Duration
+	memory  time.Duration
 	entries map[uint64]*entry // by fingerprint
 	// cleared holds the time at which to forget each cleared mark. Until then a
 	// late copy of the mark does not count.
 	cleared map[markKey]time.Time
+	// nextExpiry is when the first entry or cleared mark expires, or earlier.
+	nextExpiry time.Time
 }
 
 // markKey identifies a mark.
@@ -76,6 +80,9 @@
 // WithPeriod sets how long a fingerprint is refused the first time.
 func WithPeriod(d time.Duration) Option { return func(q *Quarantine) { q.period = d } }
 
+// WithMemory sets the least time for which a mark counts, and for which a probation lasts.
+func WithMemory(d time.Duration) Option { return func(q *Quarantine) { q.memory = d } }
+
 // New returns a Quarantine without marks.
 func New(opts ...Option) *Quarantine {
 	q := &Quarantine{period: DefaultPeriod, entries: map[uint64]*entry{}, cleared: map[markKey]time.Time{}}
@@ -132,6 +139,7 @@
 	if m.Cleared {
 		q.evictClearedIfFull()
 		q.cleared[key] = now.Add(maxPeriod)
+		q.noteExpiry(q.cleared[key])
 		q.removeCrash(m)
 		return true
 	}
@@ -158,7 +166,23 @@
 		refuse = true
 	}
 	e.refused = e.refused || refuse
-	e.expires = now.Add(e.period)
+	e.expires = now.Add(q.duration(e))
+	q.noteExpiry(e.expires)
+}
+
+// duration returns how long an entry keeps its state: refused, on probation or only marked.
+func (q *Quarantine) duration(e *entry) time.Duration {
+	if e.refused {
+		return e.period
+	}
+	return max(e.period, q.memory)
+}
+
+// noteExpiry records when an entry or a cleared mark expires.
+func (q *Quarantine) noteExpiry(at time.Time) {
+	if q.nextExpiry.IsZero() || at.Before(q.nextExpiry) {
+		q.nextExpiry = at
+	}
 }
 
 // removeCrash removes the crash of a cleared mark from its entry, and removes the
@@ -203,29 +227,39 @@
 	return q.MergeMarks(now, marks)
 }
 
-// expire ends refusals and probations that are over. A refusal turns into a
-// probation of the same length.
+// expire ends refusals and probations that are over. A refusal turns into a probation.
 func (q *Quarantine) expire(now time.Time) {
+	if now.Before(q.nextExpiry) {
+		return
+	}
+	q.nextExpiry = time.Time{}
 	for f, e := range q.entries {
-		if now.Before(e.expires) {
-			continue
-		}
-		if !e.refused {
-			delete(q.entries, f)
-			continue
+		if !now.Before(e.expires) {
+			q.endState(e)
 		}
-		e.refused = false
-		e.probation = true
-		e.expires = e.expires.Add(e.period)
 		if !now.Before(e.expires) {
 			delete(q.entries, f)
+			continue
 		}
+		q.noteExpiry(e.expires)
 	}
 	for key, expires := range q.cleared {
 		if !now.Before(expires) {
 			delete(q.cleared, key)
+			continue
 		}
+		q.noteExpiry(expires)
+	}
+}
+
+// endState turns a refusal whose time is over into a probation. Any other entry is over with it.
+func (q *Quarantine) endState(e *entry) {
+	if !e.refused {
+		return
 	}
+	e.refused = false
+	e.probation = true
+	e.expires = e.expires.Add(q.duration(e))
 }
 
 // evictIfFull makes room for a new entry.
--- a/internal/call/quarantine/quarantine_test.go
+++ b/internal/call/quarantine/quarantine_test.go
@@ -34,6 +34,23 @@
 	require.Equal(t, 2*time.Minute, wait)
 }
 
+// Guards against a request that comes more rarely than once in a period and so is never refused.
+func TestRareRequestIsRefusedToo(t *testing.T) {
+	const period, memory, between = 20 * time.Second, 2 * time.Minute, 25 * time.Second
+	q := New(WithPeriod(period), WithMemory(memory))
+	runs := 0
+	for i := range 12 {
+		at := epoch.Add(time.Duration(i) * between)
+		if _, refused := q.Refused(at, poison); !refused {
+			runs++
+			q.RecordCrash(at, "a/"+strconv.Itoa(i), []uint64{poison})
+		}
+	}
+	require.LessOrEqual(t, runs, 3+2, "of 12 arrivals in 275 s: at 0, 25, 50, 100 and 200 s, after refusals of 20, 40 and 80 s")
+	q.Refused(epoch.Add(time.Hour), poison)
+	require.False(t, q.HasMarks(), "the marks are forgotten")
+}
+
 // A request that succeeds was not the cause. A late copy of its mark does not count.
 func TestSuccessClearsMarksForGood(t *testing.T) {
 	q, other := New(), New()
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -28,6 +28,9 @@
 	// quarantinePeriod is how long a request is refused the first time that it is
 	// quarantined.
 	quarantinePeriod = 20 * time.Second
+	// markMemory is how long a request is remembered that was running at a crash, or was refused. Such
+	// a request may come rarely.
+	markMemory = 2 * time.Minute
 	// transmissionsPerMark is the number of heartbeats in which each node sends a mark.
 	transmissionsPerMark = 3
 	// maxMarksPerHeartbeat bounds the marks of one heartbeat.
@@ -49,7 +52,9 @@
 }
 
 // New returns a guard without marks.
-func New() *Guard { return &Guard{quarantine: quarantine.New(quarantine.WithPeriod(quarantinePeriod))} }
+func New() *Guard {
+	return &Guard{quarantine: quarantine.New(quarantine.WithPeriod(quarantinePeriod), quarantine.WithMemory(markMemory))}
+}
 
 // RecordCrash marks the requests that were running at a crash. crashID identifies the
 // crash.
