target: a restart under an ID keeps its own departure

Two more places where an instance ID stood for one start of the server: - The first announcement of a restart under a known ID did not record that it said "draining". The node stopped sending to it, but told neither the directory nor its peers, so that after its own restart a late heartbeat brought the server back (DRAIN). - A departure of a later start than the latest announced one left the start time of the earlier one. A late heartbeat of the departed start then counted as a restart.

Both tests of target_test.go fail without the change.

--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -77,6 +77,29 @@
 	require.False(t, serving)
 }
 
+// Guards against the loss of a departure: a server that starts again under its ID and is first heard
+// of as draining must be recorded as departed, like any other, so that no later message brings it back.
+func TestRestartThatIsFirstHeardOfAsDrainingHasDeparted(t *testing.T) {
+	tracker := newTracker()
+	require.Equal(t, announceNew, tracker.announce(epoch, "", ready("a", 9, 100)))
+	restarted := draining("a", 2)
+	restarted.StartUnixMilli = 200
+	require.Equal(t, announceNew, tracker.announce(epoch, "a", restarted))
+	require.Equal(t, []cicadaseam.Departure{{ID: "a", StartUnixMilli: 200}}, tracker.departures())
+	require.Equal(t, announceStale, tracker.announce(epoch, "a", ready("a", 3, 200)))
+}
+
+// Guards against the return of a departed start of which this process has only learned from other
+// nodes, while it had heard of an earlier start under the same ID itself.
+func TestDepartureOfALaterStartIsNotTakenForAnEarlierOne(t *testing.T) {
+	tracker := newTracker()
+	require.Equal(t, announceNew, tracker.announce(epoch, "", ready("a", 9, 100)))
+	require.True(t, tracker.markDeparted(epoch, cicadaseam.Departure{ID: "a", StartUnixMilli: 200}))
+	require.Equal(t, announceStale, tracker.announce(epoch, "a", ready("a", 4, 200)))
+	require.Equal(t, []cicadaseam.Departure{{ID: "a", StartUnixMilli: 200}}, tracker.departures())
+	require.Equal(t, announceNew, tracker.announce(epoch, "a", ready("a", 1, 300)))
+}
+
 // A node that has just started may not know yet that the instance departed before.
 func TestNothingRunsBeforeTheDeparturesAreKnown(t *testing.T) {
 	var known atomic.Bool
--- a/internal/mesh/target/tracker.go
+++ b/internal/mesh/target/tracker.go
@@ -34,6 +34,11 @@
 	departed  bool
 }
 
+// newRecord returns the record of a start that announces itself for the first time.
+func newRecord(now time.Time, instance cicadaseam.Instance) *record {
+	return &record{latest: instance, lastHeard: now, departed: instance.State == cicadaseam.BackendDraining}
+}
+
 // instanceTracker orders the announcements of the instances at one address. It is a
 // state machine without a clock or lock of its own.
 type instanceTracker struct {
@@ -51,7 +56,7 @@
 	}
 	if restarted := instance.StartUnixMilli > r.latest.StartUnixMilli && r.latest.StartUnixMilli > 0; restarted {
 		// The instance was started again under the same ID and has lost its state.
-		t.instances[instance.ID] = &record{latest: instance, lastHeard: now}
+		t.instances[instance.ID] = newRecord(now, instance)
 		return announceNew
 	}
 	if !instance.Newer(&r.latest) || r.departed && instance.State == cicadaseam.BackendReady {
@@ -73,7 +78,7 @@
 // before the one in use, the announcement was delayed, and is stale.
 func (t *instanceTracker) announceFirst(now time.Time, current string, instance cicadaseam.Instance) announceResult {
 	t.evictOldest(current)
-	t.instances[instance.ID] = &record{latest: instance, lastHeard: now, departed: instance.State == cicadaseam.BackendDraining}
+	t.instances[instance.ID] = newRecord(now, instance)
 	c := t.instances[current]
 	if c != nil && current != instance.ID && instance.StartUnixMilli > 0 && c.latest.StartUnixMilli > instance.StartUnixMilli {
 		return announceStale
@@ -93,6 +98,10 @@
 	if d.StartUnixMilli > 0 && d.StartUnixMilli < r.latest.StartUnixMilli {
 		return false
 	}
+	if d.StartUnixMilli > r.latest.StartUnixMilli {
+		// A later start than the latest that announced itself here. Its announcements may still arrive.
+		r.latest = cicadaseam.Instance{ID: d.ID, StartUnixMilli: d.StartUnixMilli}
+	}
 	r.departed = true
 	return true
 }
