rollout: evidence belongs to an instance and its version

A server that starts again under its ID with another version kept its series: the failures of the bad version counted for the old one at all nodes, so that the rollout was not rolled back for them.

Change: the recorder starts again when the version changes, and the series of a node is keyed by instance, process and version. Reports keep their form.

TestRestartUnderAnIDWithAnotherVersionIsCountedForThatVersion fails with the code of before (no evidence of the new version).

--- a/internal/daemon/sidecar/rollout.go
+++ b/internal/daemon/sidecar/rollout.go
@@ -177,7 +177,7 @@
 		connected = now-at < contactInterval
 	}
 	forKey, isTarget := r.tracker.Following(instance.Service, instance.Version)
-	r.recorder.Follow(instance.ID, forKey, isTarget)
+	r.recorder.Follow(instance.ID, instance.Version, forKey, isTarget)
 	v := rollout.View{
 		Self: rollout.Peer{
 			Node: n.settings.Name, Service: instance.Service, Instance: instance.ID, Process: n.epoch, Serving: serving,
--- a/internal/mesh/rollout/evidence.go
+++ b/internal/mesh/rollout/evidence.go
@@ -78,7 +78,9 @@
 // Response is the result of one request at a backend server.
 type Response struct {
 	Instance string
-	Route    string
+	// Version is that of the software of the instance.
+	Version string
+	Route   string
 	// Failed is set if the server answered with an error of its own or did not answer.
 	Failed bool
 	// Lost is set on a failure without an answer, and TimedOut if the deadline of the request
@@ -95,6 +97,7 @@
 type Recorder struct {
 	mu       sync.Mutex
 	instance string
+	version  string // of the instance
 	forKey   uint32 // of the order; 0 while nothing is counted
 	urgent   bool   // whether the instance is of the target version
 	counts   Counts
@@ -106,23 +109,23 @@
 // NewRecorder returns a recorder that counts nothing.
 func NewRecorder() *Recorder { return &Recorder{} }
 
-// Follow makes the recorder count the responses of an instance for an order. The counts start
-// again if either is another one. A key of 0 ends the counting. urgent is set for an instance of
-// the target version.
-func (r *Recorder) Follow(instance string, key uint32, urgent bool) {
+// Follow makes the recorder count the responses of an instance and its version for an order. The
+// counts start again if one of them is another one: a server may start again under its ID with
+// another version. A key of 0 ends the counting. urgent is set for an instance of the target version.
+func (r *Recorder) Follow(instance, version string, key uint32, urgent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.instance != instance || r.forKey != key {
+	if r.instance != instance || r.version != version || r.forKey != key {
 		r.counts, r.sent = Counts{}, RouteCounts{}
 	}
-	r.instance, r.forKey, r.urgent = instance, key, urgent
+	r.instance, r.version, r.forKey, r.urgent = instance, version, key, urgent
 }
 
 // Record counts a response. It reports whether the counts are to be sent at once.
 func (r *Recorder) Record(now time.Duration, x Response) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.forKey == 0 || x.Instance != r.instance || x.WarmUp && x.TimedOut {
+	if r.forKey == 0 || x.Instance != r.instance || x.Version != r.version || x.WarmUp && x.TimedOut {
 		return false
 	}
 	if x.Lost && !x.TimedOut {
--- a/internal/mesh/rollout/order.go
+++ b/internal/mesh/rollout/order.go
@@ -29,15 +29,15 @@
 	offset cicadaseam.Offset
 }
 
-// seriesKey identifies the counts of one process for one instance.
+// seriesKey identifies the counts of one process for one instance while it runs one version.
 type seriesKey struct {
 	instance string
 	process  int64
+	version  string
 }
 
 // series is the evidence from one process.
 type series struct {
-	version   string
 	latest    Counts
 	snapshots []snapshot
 }
@@ -146,12 +146,12 @@
 	return x.Written.Epoch > o.Written.Epoch && slices.Contains(o.past, pastOrder{key(x), x.Written.Offset})
 }
 
-// addEvidence records the counts of a process for an instance. Counts only rise; lower ones
+// addEvidence records the counts of a process for an instance and its version. Counts only rise; lower ones
 // arrived late.
-func (o *order) addEvidence(now time.Duration, k seriesKey, version string, c Counts) {
+func (o *order) addEvidence(now time.Duration, k seriesKey, c Counts) {
 	s := o.evidence[k]
 	if s == nil {
-		s = &series{version: version, snapshots: []snapshot{{now, Counts{}}}}
+		s = &series{snapshots: []snapshot{{now, Counts{}}}}
 		o.evidence[k] = s
 	}
 	switch n, before := c.total().Responses, s.latest.total().Responses; {
@@ -178,7 +178,7 @@
 		if recent {
 			c = c.since(s.snapshots[0].counts)
 		}
-		if s.version != o.Version {
+		if k.version != o.Version {
 			e.Old.add(c)
 			continue
 		}
--- a/internal/mesh/rollout/sim_test.go
+++ b/internal/mesh/rollout/sim_test.go
@@ -174,7 +174,7 @@
 func (s *sim) stepNode(i int, x *simNode) {
 	if x.tracker.Active() && s.now%simTick == 0 {
 		forKey, isTarget := x.tracker.Following("desk", x.version)
-		x.recorder.Follow(x.instance, forKey, isTarget)
+		x.recorder.Follow(x.instance, x.version, forKey, isTarget)
 		v := View{Self: s.peer(x), Nodes: len(s.nodes), Busy: x.inFlight > 0, StoreEpoch: s.end.Epoch, Wall: time.Unix(0, 0).Add(s.now)}
 		for _, h := range x.heard {
 			if h.at > 0 && s.now-h.at < simSilence {
@@ -401,7 +401,7 @@
 				s.fiftiethAt = s.now
 			}
 		}
-		r := Response{Instance: x.instance, Route: route, Failed: failed || timedOut, Lost: timedOut, TimedOut: timedOut, RunTime: runTime, WarmUp: warm}
+		r := Response{Instance: x.instance, Version: x.version, Route: route, Failed: failed || timedOut, Lost: timedOut, TimedOut: timedOut, RunTime: runTime, WarmUp: warm}
 		if !x.dead && x.recorder.Record(s.now, r) {
 			x.tracker.Urgent()
 			x.notify = true
--- a/internal/mesh/rollout/tracker.go
+++ b/internal/mesh/rollout/tracker.go
@@ -324,7 +324,7 @@
 			o.othersSeen = true
 		}
 		if p.Report != nil && p.Report.EvidenceFor == o.key && len(p.Report.Evidence) > 0 {
-			o.addEvidence(now, seriesKey{p.Instance, p.Process}, p.Report.Version, p.Report.Evidence)
+			o.addEvidence(now, seriesKey{p.Instance, p.Process, p.Report.Version}, p.Report.Evidence)
 		}
 	})
 	return servers
--- a/internal/mesh/rollout/verdict_test.go
+++ b/internal/mesh/rollout/verdict_test.go
@@ -12,7 +12,7 @@
 // counted returns counts of one route: responses, failures, and the run time of each.
 func counted(responses, failures int64, runTime time.Duration) Counts {
 	r := NewRecorder()
-	r.Follow("i", 1, false)
+	r.Follow("i", "", 1, false)
 	for i := range responses {
 		r.Record(time.Duration(i)*time.Second, Response{Instance: "i", Route: "a", Failed: i < failures, RunTime: runTime})
 	}
@@ -64,7 +64,7 @@
 func TestRecorderCountsWhatShowsTheVersion(t *testing.T) {
 	r := NewRecorder()
 	r.Record(0, Response{Instance: "i", Route: "a"}) // nothing is followed yet
-	r.Follow("i", 7, true)
+	r.Follow("i", "", 7, true)
 	for range 8 {
 		r.Record(time.Second, Response{Instance: "i", Route: "a", Failed: true, Lost: true})
 	}
@@ -82,6 +82,26 @@
 	require.Equal(t, int64(2+2*maxRoutes), c.total().Responses)
 }
 
+// Guards against a bad version whose failures count for the old one, because its server started again
+// under the ID that it had.
+func TestRestartUnderAnIDWithAnotherVersionIsCountedForThatVersion(t *testing.T) {
+	const responses = 10
+	r := NewRecorder()
+	o := newOrder(0, newTestOrder("v2", time.Minute, 0, 1))
+	for i, version := range []string{"v1", "v2"} {
+		r.Follow("i", version, o.key, version == "v2")
+		for range responses {
+			r.Record(time.Second, Response{Instance: "i", Version: version, Route: "a", Failed: version == "v2"})
+		}
+		r.Record(time.Second, Response{Instance: "i", Version: "v1", Route: "a"}) // of the earlier start, late
+		c, _ := r.Counts()
+		o.addEvidence(time.Duration(i)*time.Second, seriesKey{"i", 1, version}, c)
+	}
+	e := o.collect(1, false)
+	require.Equal(t, Counts{"a": {Responses: responses, Failures: responses}}, e.New["i"])
+	require.Equal(t, Counts{"a": {Responses: responses + 1}}, e.Old)
+}
+
 func newTestOrder(version string, d time.Duration, epoch uint64, offset cicadaseam.Offset) cicadaseam.RolloutOrder {
 	return cicadaseam.RolloutOrder{Service: "desk", Version: version, Duration: d, Written: cicadaseam.Position{Epoch: epoch, Offset: offset}}
 }
--- a/internal/mesh/target/response.go
+++ b/internal/mesh/target/response.go
@@ -24,6 +24,7 @@
 	ran := a.Outcome == cicadaseam.OutcomeRan
 	t.onResponse(rollout.Response{
 		Instance: s.id,
+		Version:  s.instance.Version,
 		Route:    call.Route,
 		Failed:   !ran || a.Status >= http.StatusInternalServerError,
 		Lost:     !ran,
