call/target: a crash while draining has an ID of its own

In `cicadaseam node` a crash was numbered only if the server was ready. The crash of a draining server had the ID of the crash before it, or that of no crash, and its marks did not count: a request that crashes servers which are being drained was never refused.

Change: the crash of each attached server is numbered once, in whatever state.

TestCrashesOfDrainingServersCountEach fails without the change.

--- a/internal/call/target/run.go
+++ b/internal/call/target/run.go
@@ -111,11 +111,14 @@
 func (t *Target) recordCrash(r *runner.Runner) bool {
 	now := time.Now()
 	t.mu.Lock()
-	if t.runner == r && t.backend.State == cicadaseam.BackendReady {
+	if t.crashed != r { // a draining backend server crashes too
+		t.crashed = r
 		t.crashCount++
+		t.counters.Crashes.Add(1)
+	}
+	if t.runner == r && t.backend.State == cicadaseam.BackendReady {
 		t.backend.State = cicadaseam.BackendNone
 		t.deliver(t.admission.Drain(now))
-		t.counters.Crashes.Add(1)
 	}
 	crashID := fmt.Sprintf("%s/%d", t.nodeID, t.crashCount)
 	suspects := map[uint64]bool{}
--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -114,6 +114,7 @@
 	runningFingerprints map[uint64]uint64              // by slot ID
 	lostRequests        []lostRequest                  // of the last crashWindow, since the last Attach
 	rateLimit           ratelimit.Named                // of the backend server since the last Attach
+	crashed             *runner.Runner                 // of the server that crashed last
 	crashCount          int                            // numbers the crashes in their IDs
 	inFlight            sync.WaitGroup                 // calls and void records
 
