config: an empty list of customers closes the routes

Callers with revoked, unknown or no keys were served, and backend servers got the key, once the operator's configuration had "tenants": [].

Cause: whether callers need a key followed from the number of customers, and the decoder did not tell an empty list from a missing one. The same difference was lost in deltas (the last customer removed), in whole revisions between nodes, and in the comparison of two revisions under one number.

Change: a revision says whether it is keyed. Updates between nodes carry it in an extension, which nodes of earlier releases ignore. What such a node sends does not tell it: a revision whose last customer left stays keyed, a node without a revision waits for the source if that answers, and otherwise requires keys where revocation is strict; the source corrects what was assumed.

--- a/internal/daemon/sidecar/keys.go
+++ b/internal/daemon/sidecar/keys.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	t := n.syncer.Table()
-	return t != nil && t.HasCustomers()
+	return t != nil && t.IsKeyed()
 }
 
 // readsSource reports whether this node follows the configuration source: as the reader of its
--- a/internal/daemon/sidecar/quota.go
+++ b/internal/daemon/sidecar/quota.go
@@ -86,7 +86,7 @@
 			Peers: make([]quota.Peer, len(peers)), Joined: n.joined.Load(), Leaving: n.leaving.Load(), Settle: max(settlePeriods*n.fleet.Period(), minSettle),
 		}
 		if t := n.syncer.Table(); t != nil {
-			m.Active = t.HasCustomers()
+			m.Active = t.IsKeyed()
 		}
 		for i, p := range peers {
 			hb := &p.Heartbeat
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -178,7 +178,7 @@
 	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithProcess(n.senderID), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
 		target.WithDeparturesKnown(n.joined.Load), target.WithOnResponse(n.rollouts.recordResponse))
 	n.syncer = revision.New(n.platform.Source, n.fetchUpdate, revision.WithLogger(n.logger), revision.WithOnChange(n.revisionChanged), revision.WithIsReader(n.readsSource),
-		revision.WithReadObserver(n.readObserver()), revision.WithOnOrders(n.rollouts.addOrders))
+		revision.WithReadObserver(n.readObserver()), revision.WithOnOrders(n.rollouts.addOrders), revision.WithKeysExpected(s.KeyStrict))
 	n.fleet = fleet.New(s.peerAddr(), s.Zone, conn, n.timers, n.heartbeat, fleet.WithPeriod(s.HeartbeatPeriod), fleet.WithLogger(n.logger), fleet.WithOnHeartbeat(n.handleHeartbeat))
 	n.quota = newQuota(n)
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
--- a/internal/mesh/dispatch/prepare.go
+++ b/internal/mesh/dispatch/prepare.go
@@ -88,7 +88,7 @@
 		Priority:         rt.Priority,
 		Idempotent:       rt.Idempotent,
 		Nested:           ex.nested,
-		Headers:          d.forwardedHeaders(r.Header, table.HasCustomers()),
+		Headers:          d.forwardedHeaders(r.Header, table.IsKeyed()),
 		Fingerprint:      quarantine.Fingerprint(d.Service, r.Method, r.RequestURI, r.Body),
 	}
 	if customer != nil {
--- a/internal/mesh/revision/catchup.go
+++ b/internal/mesh/revision/catchup.go
@@ -32,10 +32,10 @@
 func (s *Syncer) update(have cicadaseam.RevisionID) *Update {
 	for i := range s.deltas {
 		if s.deltas[i].From == have {
-			return &Update{Deltas: s.deltas[i:]}
+			return &Update{Deltas: s.deltas[i:], untold: s.keyedAssumed}
 		}
 	}
-	return &Update{Full: s.current}
+	return &Update{Full: s.current, untold: s.keyedAssumed}
 }
 
 // applyUpdate applies an encoded update of another node.
@@ -45,7 +45,7 @@
 		return err
 	}
 	if u.Full != nil {
-		return s.applyRevision(u.Full, from)
+		return s.applyFrom(from, u, u.Full)
 	}
 	for i := range u.Deltas {
 		d := &u.Deltas[i]
@@ -56,13 +56,27 @@
 		if err != nil {
 			return err
 		}
-		if err := s.applyRevision(next, from); err != nil {
+		if err := s.applyFrom(from, u, next); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// applyFrom applies a revision from an update of another node.
+func (s *Syncer) applyFrom(from string, u *Update, r *cicadaseam.Revision) error {
+	a := arrival{Revision: r, from: from}
+	if u.untold {
+		current := s.Current()
+		a.keyedAssumed = len(r.Customers) == 0
+		if a.keyedAssumed && current == nil && !s.SourceUnavailable() {
+			return &UntoldKeysError{Revision: r.Number} // the source will tell
+		}
+		r.Keyed = !a.keyedAssumed || s.assumeKeyed(current)
+	}
+	return s.applyRevision(a)
+}
+
 // ObservePeer records the revision of another node, and starts fetching if this
 // node is behind. sameZone is set if the other node is in the zone of this node.
 func (s *Syncer) ObservePeer(ctx context.Context, addr string, id cicadaseam.RevisionID, sameZone bool) {
--- a/internal/mesh/revision/delta.go
+++ b/internal/mesh/revision/delta.go
@@ -24,6 +24,8 @@
 	// ChangedCustomers and RemovedCustomers are the same for customers.
 	ChangedCustomers []cicadaseam.Customer
 	RemovedCustomers []string
+	// Keyed is that of the later revision.
+	Keyed bool `msgpack:"-"`
 }
 
 // Update is sent to a node that is behind: the deltas from the revision of that node, or
@@ -31,6 +33,14 @@
 type Update struct {
 	Deltas []Delta
 	Full   *cicadaseam.Revision
+	// untold is set if the sender does not say which revisions are keyed.
+	untold bool
+}
+
+// updateExtension is the extension of an update. Nodes of releases that do not know it send none.
+type updateExtension struct {
+	// Keyed is that of the revision after each delta, or of the whole revision.
+	Keyed []bool `msgpack:"k"`
 }
 
 // BaseMismatchError reports a delta whose base is not the revision that the node has.
@@ -48,7 +58,7 @@
 
 // diff returns the delta between two revisions.
 func diff(old, next *cicadaseam.Revision) Delta {
-	d := Delta{From: old.RevisionID, To: next.RevisionID, Limits: next.Limits}
+	d := Delta{From: old.RevisionID, To: next.RevisionID, Limits: next.Limits, Keyed: next.Keyed}
 	before := routesByName(old)
 	for i := range next.Routes {
 		r := &next.Routes[i]
@@ -67,7 +77,7 @@
 // sameContent reports whether two revisions differ in nothing but their IDs.
 func sameContent(a, b *cicadaseam.Revision) bool {
 	d := diff(a, b)
-	return len(d.Changed)+len(d.Removed)+len(d.ChangedCustomers)+len(d.RemovedCustomers) == 0 && a.Limits == b.Limits
+	return len(d.Changed)+len(d.Removed)+len(d.ChangedCustomers)+len(d.RemovedCustomers) == 0 && a.Limits == b.Limits && a.Keyed == b.Keyed
 }
 
 func routesByName(r *cicadaseam.Revision) map[string]*cicadaseam.MeshRoute {
@@ -94,7 +104,7 @@
 	for i := range d.Changed {
 		replaced[d.Changed[i].Name] = true
 	}
-	next := &cicadaseam.Revision{RevisionID: d.To, Limits: d.Limits}
+	next := &cicadaseam.Revision{RevisionID: d.To, Limits: d.Limits, Keyed: d.Keyed}
 	next.Routes = make([]cicadaseam.MeshRoute, 0, len(old.Routes)+len(d.Changed))
 	for i := range old.Routes {
 		if !replaced[old.Routes[i].Name] {
@@ -109,6 +119,9 @@
 // encode returns the compressed update.
 func (u *Update) encode() ([]byte, error) {
 	body, err := pack.Marshal(u)
+	if err == nil && !u.untold {
+		body, err = pack.AppendExtension(body, &updateExtension{Keyed: u.keyed()})
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "encode update")
 	}
@@ -132,5 +145,36 @@
 		return nil, errors.Wrap(err, "decompress update")
 	}
 	var u Update
-	return &u, errors.Wrap(pack.Unmarshal(body, &u), "decode update")
+	var x updateExtension
+	if err := pack.UnmarshalExtended(body, &u, &x); err != nil && !errors.Is(err, pack.ErrExtension) {
+		return nil, errors.Wrap(err, "decode update")
+	}
+	u.setKeyed(x.Keyed)
+	return &u, nil
+}
+
+// keyed returns what the extension says of the revisions.
+func (u *Update) keyed() []bool {
+	if u.Full != nil {
+		return []bool{u.Full.Keyed}
+	}
+	out := make([]bool, len(u.Deltas))
+	for i := range u.Deltas {
+		out[i] = u.Deltas[i].Keyed
+	}
+	return out
+}
+
+// setKeyed sets what the extension says of the revisions.
+func (u *Update) setKeyed(keyed []bool) {
+	u.untold = len(keyed) != len(u.keyed())
+	switch {
+	case u.untold:
+	case u.Full != nil:
+		u.Full.Keyed = keyed[0]
+	default:
+		for i := range u.Deltas {
+			u.Deltas[i].Keyed = keyed[i]
+		}
+	}
 }
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -64,6 +64,7 @@
 	logger            *zap.Logger
 	onChange          func()
 	isReader          func() bool
+	keysExpected      bool
 	onOrders          func(orders []cicadaseam.RolloutOrder, rejected []error)
 	sourceUnavailable atomic.Bool
 	sourceSlow        atomic.Bool
@@ -77,6 +78,8 @@
 	deltas   []Delta // the most recent ones, in order
 	fetching bool
 	latest   peerRevision
+	// keyedAssumed is set if nothing has told whether the current revision is keyed.
+	keyedAssumed bool
 }
 
 // Option configures a new Syncer.
@@ -141,7 +144,7 @@
 		s.logger.Warn("configuration rejected", zap.String("from", fromSource), logging.Error(err))
 		return err
 	}
-	err = s.applyRevision(r, fromSource)
+	err = s.applyRevision(arrival{Revision: r, from: fromSource})
 	s.proofs.recordRevision(r.RevisionID, err)
 	return err
 }
@@ -157,48 +160,61 @@
 	return s.current
 }
 
-// applyRevision validates a revision and puts it in force if it is later than the
-// current one. from says in the log where it came from.
-func (s *Syncer) applyRevision(r *cicadaseam.Revision, from string) error {
+// arrival is a revision and where it came from.
+type arrival struct {
+	*cicadaseam.Revision
+	from string // as the log names it
+	// keyedAssumed is set if the sender did not tell whether the revision is keyed.
+	keyedAssumed bool
+}
+
+// applyRevision validates a revision and puts it in force if it is later than the current one, or
+// tells whether that is keyed where this was assumed.
+func (s *Syncer) applyRevision(a arrival) error {
 	current := s.Current()
-	if current != nil && !r.After(current.RevisionID) {
+	if current != nil && !a.After(current.RevisionID) && !s.corrects(a) {
 		return nil
 	}
-	if current != nil && r.Number == current.Number && sameContent(current, r) {
-		if from != fromSource {
-			s.adoptID(current, r.RevisionID)
+	if current != nil && a.Number == current.Number && sameContent(current, a.Revision) {
+		if a.from != fromSource {
+			s.adoptID(current, a.RevisionID)
 		}
 		return nil
 	}
-	t, err := route.New(r)
+	t, err := route.New(a.Revision)
 	if err != nil {
-		s.logger.Warn("configuration rejected", zap.String("from", from), zap.Uint64("revision", r.Number), logging.Error(err))
+		s.logger.Warn("configuration rejected", zap.String("from", a.from), zap.Uint64("revision", a.Number), logging.Error(err))
 		return err
 	}
-	if !s.swap(t, r) {
+	if !s.swap(t, a) {
 		return nil
 	}
-	s.logger.Info("configuration applied", zap.String("from", from), zap.Uint64("revision", t.Number), zap.Int("routes", t.Len()))
+	s.logger.Info("configuration applied", zap.String("from", a.from), zap.Uint64("revision", t.Number), zap.Int("routes", t.Len()), zap.Bool("keyed", t.IsKeyed()), zap.Bool("keyed-assumed", a.keyedAssumed))
 	s.onChange()
 	return nil
 }
 
 // swap puts a table in force and returns true, unless the number of the table in force is
 // the same or higher.
-func (s *Syncer) swap(t *route.Table, r *cicadaseam.Revision) bool {
+func (s *Syncer) swap(t *route.Table, a arrival) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.current
-	if old != nil && !r.After(old.RevisionID) {
+	old, r := s.current, a.Revision
+	corrected := s.correctsLocked(a)
+	if old != nil && !r.After(old.RevisionID) && !corrected {
 		return false
 	}
 	now := time.Now()
 	s.appliedAt.Store(&now)
 	s.table.Store(t)
-	s.current = r
+	s.current, s.keyedAssumed = r, a.keyedAssumed
 	if old == nil {
 		return true
 	}
+	if corrected {
+		s.deltas = nil // they lead to the revision as it was assumed
+		return true
+	}
 	if r.Number == old.Number {
 		s.logger.Warn("revision replaced under its number", zap.Uint64("revision", r.Number), zap.Any("before", old.Written), zap.Any("now", r.Written))
 	}
--- a/internal/mesh/revision/revision_test.go
+++ b/internal/mesh/revision/revision_test.go
@@ -417,7 +417,7 @@
 	require.True(t, sameContent(ahead.Current(), behind.Current()))
 	rewritten := *ahead.Current()
 	rewritten.Written.Epoch++
-	require.NoError(t, behind.applyRevision(&rewritten, "peer"))
+	require.NoError(t, behind.applyRevision(arrival{Revision: &rewritten, from: "peer"}))
 	require.Equal(t, rewritten.RevisionID, behind.ID())
 	require.Nil(t, behind.deltas)
 }
--- a/internal/mesh/route/customer.go
+++ b/internal/mesh/route/customer.go
@@ -40,7 +40,6 @@
 			t.customers[h] = c
 		}
 	}
-	t.keyed = len(customers) > 0
 	return ""
 }
 
@@ -50,8 +49,8 @@
 // RequiresKey reports whether the callers of a route need the key of a customer.
 func (t *Table) RequiresKey(r *cicadaseam.MeshRoute) bool { return t.keyed && !r.Public }
 
-// HasCustomers reports whether the revision has customers.
-func (t *Table) HasCustomers() bool { return t.keyed }
+// IsKeyed reports whether callers need the key of a customer, except on public routes.
+func (t *Table) IsKeyed() bool { return t.keyed }
 
 // CustomerNamed returns the customer with a name, or nil if there is none.
 func (t *Table) CustomerNamed(name string) *cicadaseam.Customer { return t.named[name] }
--- a/internal/mesh/route/customer_test.go
+++ b/internal/mesh/route/customer_test.go
@@ -78,6 +78,17 @@
 	require.False(t, table.RequiresKey(table.Find("a.example", "/x/1")))
 }
 
+// Guards against routes that are open to all since the last customer has left.
+func TestKeysAreRequiredWhereNoCustomerIsLeft(t *testing.T) {
+	r := keyedRevision()
+	r.Keyed = true
+	table, err := New(r)
+	require.NoError(t, err)
+	require.True(t, table.IsKeyed())
+	require.True(t, table.RequiresKey(table.Find("a.example", "/x/1")))
+	require.False(t, table.RequiresKey(table.Find("a.example", "/p/1")))
+}
+
 // Guards against a version that is applied although its customers contradict each other.
 func TestInvalidCustomersRefuseTheRevision(t *testing.T) {
 	for name, customers := range map[string][]cicadaseam.Customer{
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -46,7 +46,7 @@
 	// customers holds the customers by the hashes of their keys.
 	customers map[cicadaseam.KeyHash]*cicadaseam.Customer
 	named     map[string]*cicadaseam.Customer // by name
-	keyed     bool                            // whether the revision has customers
+	keyed     bool                            // whether callers need the key of a customer
 }
 
 // New compiles a revision. For an invalid one it returns an *InvalidRevisionError
@@ -65,6 +65,7 @@
 	for _, routes := range t.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
 	}
+	t.keyed = r.Keyed || len(r.Customers) > 0
 	if problem := t.addCustomers(r.Customers); problem != "" {
 		return nil, &InvalidRevisionError{Revision: r.Number, Problem: problem}
 	}
--- a/mesh.go
+++ b/mesh.go
@@ -44,8 +44,11 @@
 	RevisionID
 	Routes []MeshRoute
 	Limits Limits
-	// Customers is empty if callers need no key.
+	// Customers are those whose keys are accepted.
 	Customers []Customer
+	// Keyed is set if callers need the key of a customer, also while there is no customer. Without it
+	// there are no customers.
+	Keyed bool `msgpack:"-"`
 }
 
 // KeyHash is the SHA-256 of an API key. Keys themselves are never kept.
