target: nothing is sent to a backend server that may be gone

Requests that waited in the queue beside a backend server reached it up to 3.4 s after its draining was acknowledged (drain_ms is 2,000 to 3,000). Those that may run once were cut when it ended: 502, the caller does not know whether its order was taken.

Cause: a departure stopped new requests only. A queued one could wait for 0.9 of its latency objective, and nothing told the queue when the server ends. The program did not know drain_ms.

When an instance departs, in whatever way, the queue refuses at once what is not expected to end by then, with a reason that sends it elsewhere, and bounds the waits of the rest. What has a slot but gets no connection by then is not sent.

--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -31,6 +31,9 @@
 	// which it is used after its last announcement.
 	BackendAddr  string
 	BackendLease time.Duration
+	// BackendDrain is how long the backend server serves at least after the node has acknowledged that
+	// it is draining.
+	BackendDrain time.Duration
 
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget, as in
 	// dispatch.RetryBudgetConfig.
@@ -73,6 +76,7 @@
 		settings.Required(settings.Address(&s.StoreAddr, "store", "address", "", "address of the platform's store")),
 		settings.Address(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are ignored"),
 		settings.Duration(&s.BackendLease, "backend", "lease", target.DefaultLease, 100*time.Millisecond, 10*time.Minute, "time after which a backend server that is not announced again counts as gone"),
+		settings.Duration(&s.BackendDrain, "backend", "drain", target.DefaultDrainTime, 0, time.Hour, "time for which a backend server serves after its draining was acknowledged; no request is sent to it later"),
 		settings.Float(&s.RetryRatio, "retry", "ratio", dispatch.DefaultRetryBudget.Ratio, 0, 10, "retries per request", "retries that the fleet may make for each request"),
 		settings.Float(&s.RetrySlack, "retry", "slack", dispatch.DefaultRetryBudget.Slack, 0, 1e6, "retries", "retries that the fleet may make in a window beyond that"),
 		settings.Duration(&s.RetryWindow, "retry", "window", dispatch.DefaultRetryBudget.Window, time.Second, time.Hour, "window in which retries are counted"),
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -175,7 +175,7 @@
 	n.delayEstimator = transit.New()
 	n.senderID = transit.SenderID(s.peerAddr(), n.epoch)
 	n.rollouts = newRollouts(n)
-	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithGuard(n.guard), target.WithProcess(n.senderID), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
+	n.target = target.New(n.platform.Headers, target.WithLogger(n.logger), target.WithLease(s.BackendLease), target.WithDrainTime(s.BackendDrain), target.WithGuard(n.guard), target.WithProcess(n.senderID), target.WithOnChange(n.instanceChanged), target.WithOnDeparted(n.instanceDeparted),
 		target.WithDeparturesKnown(n.joined.Load), target.WithOnResponse(n.rollouts.recordResponse))
 	n.syncer = revision.New(n.platform.Source, n.fetchUpdate, revision.WithLogger(n.logger), revision.WithOnChange(n.revisionChanged), revision.WithIsReader(n.readsSource),
 		revision.WithReadObserver(n.readObserver()), revision.WithOnOrders(n.rollouts.addOrders), revision.WithKeysExpected(s.KeyStrict))
@@ -266,16 +266,17 @@
 // isReady reports whether this node has a configuration and has joined the fleet.
 func (n *Node) isReady() bool { return n.syncer.Table() != nil && n.joined.Load() }
 
-// Reload applies the retry budget and the backend lease of new settings. The log level is
+// Reload applies the retry budget, the backend lease and the drain time of new settings. The log level is
 // applied by the caller. Every other change takes effect at the next start, and the log line
 // reports whether there is one.
 func (n *Node) Reload(s Settings) {
 	old := n.settings
 	n.dispatch.SetRetryBudget(retryBudget(&s))
 	n.target.SetLease(s.BackendLease)
+	n.target.SetDrainTime(s.BackendDrain)
 	old.RetryRatio, old.RetrySlack, old.RetryWindow = s.RetryRatio, s.RetrySlack, s.RetryWindow
-	old.BackendLease, old.LogLevel = s.BackendLease, s.LogLevel
-	n.logger.Info("settings reloaded", zap.Float64("retry-ratio", s.RetryRatio), zap.Duration("lease", s.BackendLease), zap.Bool("restart-needed", old != s))
+	old.BackendLease, old.BackendDrain, old.LogLevel = s.BackendLease, s.BackendDrain, s.LogLevel
+	n.logger.Info("settings reloaded", zap.Float64("retry-ratio", s.RetryRatio), zap.Duration("lease", s.BackendLease), zap.Duration("drain", s.BackendDrain), zap.Bool("restart-needed", old != s))
 }
 
 func retryBudget(s *Settings) dispatch.RetryBudgetConfig {
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -44,6 +44,7 @@
 //	q.Release(now, took) // starts queued requests through their Admitted channels
 //	q.Settle(now, request) // corrects the slots that a class is known to use
 //	q.Advance(now)       // periodically, while requests wait
+//	q.EndBy(now, end)    // when the backend server is to exit
 package slot
 
 import (
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
@@ -152,7 +153,7 @@
 		if admitted {
 			return nil
 		}
-		return t.refusal(s, cicadaseam.ReasonQueueTimeout, t.estimateWait(s, slotReq))
+		return t.queueRefusal(s, slotReq)
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
@@ -168,6 +169,14 @@
 	return t.refusal(s, reason, 0)
 }
 
+// queueRefusal returns the answer to a request that the queue refused.
+func (t *Target) queueRefusal(s *server, slotReq *slot.Request) *cicadaseam.MeshAnswer {
+	if !t.sendBy(s).IsZero() {
+		return t.refusal(s, cicadaseam.ReasonDraining, 0) // that says nothing of the room elsewhere
+	}
+	return t.refusal(s, cicadaseam.ReasonQueueTimeout, t.estimateWait(s, slotReq))
+}
+
 // estimateWait returns how long a new request of the same rank and customer would wait.
 func (t *Target) estimateWait(s *server, slotReq *slot.Request) time.Duration {
 	t.mu.Lock()
@@ -207,7 +216,7 @@
 	defer t.trackRunning(s, call, -1)
 	began := time.Now()
 	t.beginRun(began, s, call)
-	result := s.client.Do(ctx, call, s.id, remaining)
+	result := s.client.Do(ctx, call, s.id, remaining, t.sendBy(s))
 	took := time.Since(began)
 	if ctx.Err() == nil {
 		t.detectLoss(s, &result)
@@ -228,6 +237,13 @@
 	return answer
 }
 
+// sendBy returns when the server may exit if it is draining, and zero if it is not.
+func (t *Target) sendBy(s *server) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.endsAt
+}
+
 // beginRun records that a request is sent.
 func (t *Target) beginRun(now time.Time, s *server, call *cicadaseam.MeshCall) {
 	t.mu.Lock()
@@ -266,10 +282,7 @@
 		answer.Body = r.Body
 	case !r.Sent:
 		answer.Outcome = cicadaseam.OutcomeNotRun
-		answer.Reason = cicadaseam.ReasonBackendLost
-		if ctx.Err() == context.Canceled {
-			answer.Reason = cicadaseam.ReasonCanceled // the caller left; that says nothing of the server
-		}
+		answer.Reason = unsentReason(ctx, r)
 	case ctx.Err() == context.DeadlineExceeded:
 		answer.Reason = cicadaseam.ReasonDeadline
 	case ctx.Err() != nil:
@@ -279,6 +292,17 @@
 	}
 }
 
+// unsentReason returns why a request was not sent.
+func unsentReason(ctx context.Context, r *upstream.Result) cicadaseam.Reason {
+	switch {
+	case ctx.Err() == context.Canceled:
+		return cicadaseam.ReasonCanceled // the caller left; that says nothing of the server
+	case errors.Is(r.Err, upstream.ErrTooLate):
+		return cicadaseam.ReasonDraining
+	}
+	return cicadaseam.ReasonBackendLost
+}
+
 // recordResult releases the slot of a request and updates the statistics and the
 // backoff from its answer. t.mu must be held.
 func (t *Target) recordResult(now time.Time, s *server, call *cicadaseam.MeshCall, answer *cicadaseam.MeshAnswer, took time.Duration) {
@@ -297,7 +321,7 @@
 	if answer.ReachedBackend && (answer.Reason == cicadaseam.ReasonCanceled || answer.Reason == cicadaseam.ReasonDeadline) {
 		s.stats.runTimes.addUnfinished(now, call, answer.BackendTime)
 	}
-	if answer.Reason == cicadaseam.ReasonCanceled {
+	if answer.Reason == cicadaseam.ReasonCanceled || answer.Reason == cicadaseam.ReasonDraining {
 		return
 	}
 	s.stats.recordFailure(now)
--- a/internal/mesh/target/server.go
+++ b/internal/mesh/target/server.go
@@ -19,7 +19,9 @@
 	stats     stats
 	lastHeard time.Time
 	draining  bool
-	answered  bool // a request
+	// endsAt is when the server may exit, if it is draining.
+	endsAt   time.Time
+	answered bool // a request
 	// backoffUntil is when a server that refused a connection or crashed is tried again.
 	backoffUntil     time.Time
 	connectFailures  int // since the last success: connections that could not be opened
@@ -42,6 +44,14 @@
 	return min(s.instance.Slots, unknownSlots)
 }
 
+// drain records that the server is to exit. It serves for drainTime after that is acknowledged.
+// Target.mu must be held.
+func (s *server) drain(now time.Time, drainTime time.Duration) {
+	s.draining = true
+	s.endsAt = now.Add(drainTime)
+	s.queue.EndBy(now, s.endsAt)
+}
+
 // unavailableReason returns why a server gets no new request, or ReasonNone. t.mu must be held.
 func (t *Target) unavailableReason(now time.Time, s *server) cicadaseam.Reason {
 	switch {
--- a/internal/mesh/target/signals.go
+++ b/internal/mesh/target/signals.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	t.tracker.markDeparted(now, s.departure())
-	s.draining = true
+	s.drain(now, t.drainTime)
 	t.logger.Info("backend server leaves", zap.String("request", requestID), zap.String("instance", s.id), zap.Int("running", s.queue.Running()), zap.Int("queued", s.queue.Waiting()))
 	return true
 }
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -16,7 +16,8 @@
 //   - OutcomeNotRun is answered only when no byte of the request was sent or the backend
 //     server itself rejected it.
 //   - After the draining of an instance has been acknowledged, no new request is
-//     admitted to it. Requests that were queued before may still start.
+//     admitted to it. Requests that were queued before may still start, if they are expected to end
+//     before the instance may exit. None is sent to it after that time.
 //
 // # Usage
 //
@@ -62,6 +63,9 @@
 	logger  *zap.Logger
 	sent    atomic.Int64  // requests sent to the backend server
 	lease   time.Duration // protected by mu
+	// drainTime is how long an instance serves after its draining was acknowledged. It is protected by
+	// mu.
+	drainTime time.Duration
 
 	mu      sync.Mutex
 	tracker instanceTracker
@@ -89,6 +93,9 @@
 // WithLease sets how long an instance is used after its last announcement.
 func WithLease(d time.Duration) Option { return func(t *Target) { t.lease = d } }
 
+// WithDrainTime sets how long an instance serves at least after its draining was acknowledged.
+func WithDrainTime(d time.Duration) Option { return func(t *Target) { t.drainTime = d } }
+
 // WithOnChange sets a function that is called when another instance becomes the current
 // one, and when the current one starts draining, changes its slots or crashes.
 func WithOnChange(f func()) Option { return func(t *Target) { t.onChange = f } }
@@ -101,12 +108,16 @@
 // this process are known. Until then no request runs, since the instance may have departed.
 func WithDeparturesKnown(f func() bool) Option { return func(t *Target) { t.departuresKnown = f } }
 
-// DefaultLease is how long an instance is used after its last announcement.
-const DefaultLease = 5 * time.Second
+const (
+	// DefaultLease is how long an instance is used after its last announcement.
+	DefaultLease = 5 * time.Second
+	// DefaultDrainTime is how long an instance serves after its draining was acknowledged.
+	DefaultDrainTime = 2 * time.Second
+)
 
 // New returns a target without an instance.
 func New(headers cicadaseam.MeshHeaders, opts ...Option) *Target {
-	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, onChange: func() {}, onDeparted: func(cicadaseam.Departure) {}, departuresKnown: func() bool { return true }, onResponse: func(rollout.Response) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
+	t := &Target{headers: headers, logger: zap.NewNop(), lease: DefaultLease, drainTime: DefaultDrainTime, onChange: func() {}, onDeparted: func(cicadaseam.Departure) {}, departuresKnown: func() bool { return true }, onResponse: func(rollout.Response) {}, running: map[string]runningRequest{}, guard: noGuard{}, tracker: newTracker()}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -120,6 +131,14 @@
 	t.lease = d
 }
 
+// SetDrainTime changes how long an instance serves after its draining was acknowledged. It does not
+// hold for an instance that is draining.
+func (t *Target) SetDrainTime(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drainTime = d
+}
+
 // Announce handles an announcement of the backend server.
 func (t *Target) Announce(now time.Time, instance cicadaseam.Instance) {
 	t.mu.Lock()
@@ -154,7 +173,7 @@
 	t.mu.Lock()
 	changed := t.tracker.markDeparted(now, d) && t.server != nil && t.server.instance.ID == id && !t.server.draining
 	if changed {
-		t.server.draining = true
+		t.server.drain(now, t.drainTime)
 	}
 	t.mu.Unlock()
 	if changed {
@@ -202,7 +221,7 @@
 	s.lastHeard = now
 	s.queue.SetLimit(now, s.slots())
 	if instance.State == cicadaseam.BackendDraining && !s.draining {
-		s.draining = true
+		s.drain(now, t.drainTime)
 		return true
 	}
 	return old.Slots != instance.Slots
@@ -220,12 +239,14 @@
 		instance:            instance,
 		client:              upstream.New(instance.Addr, t.headers),
 		lastHeard:           now,
-		draining:            instance.State == cicadaseam.BackendDraining,
 		warmUpUntil:         now.Add(instance.WarmUp),
 		runningFingerprints: map[uint64]int{},
 		knownFields:         map[string]bool{},
 	}
 	s.queue = slot.New(s.slots())
+	if instance.State == cicadaseam.BackendDraining {
+		s.drain(now, t.drainTime)
+	}
 	t.server = s
 }
 
--- a/internal/mesh/upstream/endless_test.go
+++ b/internal/mesh/upstream/endless_test.go
@@ -92,7 +92,7 @@
 						began := time.Now()
 						ctx, cancel := context.WithTimeout(context.Background(), timeout)
 						defer cancel()
-						r := c.Do(ctx, &cicadaseam.MeshCall{ID: "q", Method: "GET", Host: "a.example", RequestURI: "/x", Idempotent: true}, "i-1", timeout)
+						r := c.Do(ctx, &cicadaseam.MeshCall{ID: "q", Method: "GET", Host: "a.example", RequestURI: "/x", Idempotent: true}, "i-1", timeout, time.Time{})
 						if r.Err == nil || time.Since(began) > timeout+margin {
 							t.Errorf("after %s: %+v", time.Since(began), r)
 						}
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -17,7 +17,7 @@
 // # Usage
 //
 //	c := upstream.New("10.0.0.9:8080", headers)
-//	result := c.Do(ctx, call, instanceID, timeout)
+//	result := c.Do(ctx, call, instanceID, timeout, time.Time{})
 package upstream
 
 import (
@@ -63,6 +63,9 @@
 // bodyBudget is shared by all clients of the process: one for each instance of its backend server.
 var bodyBudget = connpool.NewBudget(maxBodiesInProgress)
 
+// ErrTooLate is the error in Result.Err for a request that could not be sent in time.
+var ErrTooLate = errors.New("no connection before the backend server may exit")
+
 // Errors in Result.Err for responses that cannot be used.
 var (
 	ErrTooManyStrayResponses = errors.New("too many responses with the ID of another request")
@@ -140,13 +143,10 @@
 func usableIdle(d time.Duration) time.Duration { return time.Duration(idleTimeoutShare * float64(d)) }
 
 // Do sends a request and reads the complete response. instance is the ID of the only
-// instance that may run the request, and timeout the time that it is given to respond.
-func (c *Client) Do(ctx context.Context, call *cicadaseam.MeshCall, instance string, timeout time.Duration) Result {
-	maxIdle := nonIdempotentMaxIdle
-	if call.Idempotent {
-		maxIdle = unlimitedIdle
-	}
-	conn, err := c.pool.Get(ctx, time.Now(), maxIdle, call.ID)
+// instance that may run the request, and timeout the time that it is given to respond. The request
+// is not sent later than sendBy, unless that is zero.
+func (c *Client) Do(ctx context.Context, call *cicadaseam.MeshCall, instance string, timeout time.Duration, sendBy time.Time) Result {
+	conn, err := c.connect(ctx, call, sendBy)
 	if err != nil {
 		return Result{Err: err}
 	}
@@ -163,6 +163,27 @@
 	return c.checkUnframed(ctx, result)
 }
 
+// connect returns a connection for a request, before sendBy.
+func (c *Client) connect(ctx context.Context, call *cicadaseam.MeshCall, sendBy time.Time) (*connpool.Conn, error) {
+	maxIdle := nonIdempotentMaxIdle
+	if call.Idempotent {
+		maxIdle = unlimitedIdle
+	}
+	if sendBy.IsZero() {
+		return c.pool.Get(ctx, time.Now(), maxIdle, call.ID)
+	}
+	ctx, cancel := context.WithDeadline(ctx, sendBy)
+	defer cancel()
+	conn, err := c.pool.Get(ctx, time.Now(), maxIdle, call.ID)
+	if !time.Now().After(sendBy) {
+		return conn, err
+	}
+	if err == nil {
+		c.pool.Put(time.Now(), conn) // nothing was sent on it
+	}
+	return nil, ErrTooLate
+}
+
 // checkUnframed replaces a response whose body ended with its connection by an error if the backend
 // server is gone: then the body may have ended because the server crashed.
 func (c *Client) checkUnframed(ctx context.Context, r Result) Result {
--- a/internal/mesh/upstream/upstream_test.go
+++ b/internal/mesh/upstream/upstream_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	return c.Do(ctx, x, "i-1", 1500*time.Millisecond)
+	return c.Do(ctx, x, "i-1", 1500*time.Millisecond, time.Time{})
 }
 
 func TestRequestCarriesWhatTheBackendServerExpects(t *testing.T) {
@@ -331,7 +331,7 @@
 	}), headers)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	r := c.Do(ctx, call("q"), "i-1", time.Second)
+	r := c.Do(ctx, call("q"), "i-1", time.Second, time.Time{})
 	require.Error(t, r.Err)
 	require.True(t, r.Sent)
 	<-closed
