call/target: a call that waited for the ledger checks the server again

Same rule as for the sidecar: what was admitted before is not started after. In `cicadaseam node` a non-idempotent call with a key has its slot while it waits for the ledger, for seconds if the log is slow. It was then sent to whatever server was attached: one that had been drained, or one of another service.

Change: the attempt starts only if the server still takes calls of its service; otherwise it is refused as not run and its claim is voided.

TestCallThatWaitsForTheLedgerIsNotSentToAServerThatLeft fails without the change, in all three cases.

--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -290,11 +290,11 @@
 			return answer
 		}
 	}
-	if ctx.Err() != nil || !t.attempts.start(call.AttemptID) {
+	if reason := t.startAttempt(ctx, call); reason != cicadaseam.ReasonNone {
 		t.releaseSlot()
 		t.attempts.void(time.Now(), call.AttemptID)
 		t.voidClaimAsync(call)
-		return notRun(cicadaseam.ReasonDeadline, retryAfterBusy)
+		return notRun(reason, retryAfterBusy)
 	}
 	// The request goes on when the caller disconnects. Its answer is kept for a retry.
 	deadline, _ := ctx.Deadline()
@@ -310,12 +310,31 @@
 	return answer
 }
 
+// startAttempt marks the attempt of a call as started. It returns why the call may not start any more,
+// or ReasonNone: the ledger may have taken so long that the backend server leaves or is another one.
+func (t *Target) startAttempt(ctx context.Context, call *cicadaseam.Call) cicadaseam.Reason {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.accepts(call) {
+		return cicadaseam.ReasonDraining
+	}
+	if ctx.Err() != nil || !t.attempts.start(call.AttemptID) {
+		return cicadaseam.ReasonDeadline
+	}
+	return cicadaseam.ReasonNone
+}
+
+// accepts reports whether the backend server takes a call now. t.mu must be held.
+func (t *Target) accepts(call *cicadaseam.Call) bool {
+	return t.backend.State == cicadaseam.BackendReady && t.backend.Service == call.Service
+}
+
 // acquireSlot waits for a slot and returns its ID. The reason is ReasonNone when the call
 // got one.
 func (t *Target) acquireSlot(ctx context.Context, call *cicadaseam.Call, policy tree.Policy) (uint64, cicadaseam.Reason) {
 	deadline, _ := ctx.Deadline()
 	t.mu.Lock()
-	if t.backend.State != cicadaseam.BackendReady || t.backend.Service != call.Service {
+	if !t.accepts(call) {
 		t.mu.Unlock()
 		return 0, cicadaseam.ReasonDraining
 	}
