sidecar: a planned stop refuses what it would have to cut off

Report of another operator, reproduced: in the stop of one machine, a request whose last byte came late in the grace period was passed on and canceled at the end of it. Its caller got 502 and does not know whether it ran.

Cause: a node that drains bounded neither the requests that it still reads nor those that wait at its backend server by the time at which it cancels what is in flight. The same rule as for a server that leaves.

Change: from SIGTERM on, a request is sent only to a target from which its answer is expected before that time, and the queue beside the server starts only what is expected to end by then. The rest is refused at once as not run.

TestNodeThatStopsRunsOnlyWhatCanEnd covers requests of other nodes.

--- a/internal/daemon/sidecar/drain.go
+++ b/internal/daemon/sidecar/drain.go
@@ -19,13 +19,16 @@
 	flushDelay = 50 * time.Millisecond
 )
 
-// drain finishes the work of this node. It reports whether all requests were answered
-// without being canceled.
+// drain finishes the work of this node. What is not expected to end before the requests in
+// flight are canceled is refused, so that its caller can send it elsewhere. It reports
+// whether all requests were answered without being canceled.
 func (n *Node) drain() bool {
 	start := time.Now()
 	cancelAt := start.Add(time.Duration(cancelShare * float64(n.settings.GracePeriod)))
 	n.leaving.Store(true)
 	n.fleet.NotifyAll()
+	n.dispatch.EndBy(cancelAt)
+	n.target.StopBy(start, cancelAt)
 	n.front.Drain()
 	n.logger.Info("node draining", zap.Int64("open", n.front.InFlight()), zap.Int("running", n.target.Load(start).InFlight))
 	time.Sleep(min(n.settings.DrainDelay, time.Until(cancelAt)))
--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -40,6 +40,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -151,6 +152,8 @@
 	keys           KeyProofs
 	quota          Quota
 	rollouts       Rollouts
+	// endsAt is when this node cancels the requests in flight, or nil.
+	endsAt atomic.Pointer[time.Time]
 }
 
 // Observer receives replies and retries, for metrics.
@@ -244,6 +247,27 @@
 	return d
 }
 
+// EndBy is called when this node cancels at a time the requests that are in flight then. From now on,
+// a request is sent only to a target from which its answer is expected before.
+func (d *Dispatcher) EndBy(at time.Time) { d.endsAt.Store(&at) }
+
+// deadlineOf returns until when the reply to a request is due at this node.
+func (d *Dispatcher) deadlineOf(ex *exchange) time.Time {
+	if end := d.endsAt.Load(); end != nil && end.Before(ex.deadline) {
+		return *end
+	}
+	return ex.deadline
+}
+
+// requirements returns the requirements on the next target.
+func (d *Dispatcher) requirements(now time.Time, ex *exchange) Requirements {
+	req := ex.requirements(now)
+	if left := d.deadlineOf(ex).Sub(now) - replyMargin; left < req.Timeout {
+		req.Timeout, req.CutOff = left, true
+	}
+	return req
+}
+
 // SetRetryBudget changes the retry budget of the fleet.
 func (d *Dispatcher) SetRetryBudget(c RetryBudgetConfig) { d.budget.SetConfig(c) }
 
@@ -302,7 +326,7 @@
 func (d *Dispatcher) tryTargets(ctx context.Context, ex *exchange) (reply *Reply, outcome string, reason cicadaseam.Reason) {
 	for len(ex.tried) < maxTargetsPerRequest {
 		now := time.Now()
-		if ex.deadline.Sub(now) < minAttemptTime {
+		if d.deadlineOf(ex).Sub(now) < minAttemptTime {
 			ex.lastReason = cicadaseam.ReasonDeadline
 			break
 		}
@@ -361,10 +385,13 @@
 		ex.lastReason = cicadaseam.ReasonRetryBudget
 		return attempt{}, false
 	}
-	req := ex.requirements(now)
+	req := d.requirements(now, ex)
 	selected, ok := d.selectTarget(now, req, ex)
 	ex.skipped = selected.Skipped
 	if !ok {
+		if req.CutOff && ex.lastReason == cicadaseam.ReasonNone {
+			ex.lastReason = cicadaseam.ReasonDraining
+		}
 		if isRetry {
 			d.budget.Refund(now, ex.call.Service)
 		}
--- a/internal/mesh/dispatch/probe.go
+++ b/internal/mesh/dispatch/probe.go
@@ -29,7 +29,7 @@
 // probe asks a target of the own zone to start a request at once. It returns false if there is none
 // to ask, or the one that was asked had no free slot.
 func (d *Dispatcher) probe(ctx context.Context, now time.Time, ex *exchange) (attempt, bool) {
-	req := ex.requirements(now)
+	req := d.requirements(now, ex)
 	req.Probe = true
 	selected, ok := d.selectTarget(now, req, ex)
 	if !ok {
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -103,6 +103,9 @@
 	// Timeout is the time within which the target must answer to reach the caller by its
 	// deadline.
 	Timeout time.Duration
+	// CutOff is set if the request is canceled after Timeout because this node exits, though its
+	// caller waits longer.
+	CutOff bool
 	// Nested requests are calls that a backend server makes on behalf of a request that
 	// it is running.
 	Nested bool
@@ -199,6 +202,15 @@
 	return best.selection, true
 }
 
+// cutOffMargin is the multiple of its expected run time that a request must have left where it would
+// otherwise be canceled while it runs.
+const cutOffMargin = 1.5
+
+// endsWithin reports whether the answer is expected within a time, after which the request is canceled.
+func (s *Selection) endsWithin(d time.Duration) bool {
+	return time.Duration(cutOffMargin*float64(s.RunTime))+s.QueueTime+s.TransitTime <= d
+}
+
 // option is the best one of the candidates that were compared.
 type option struct {
 	selection Selection
@@ -224,6 +236,9 @@
 		return
 	}
 	expected := t.estimate(c.now, c.req.LatencyObjective, c.req.Nested)
+	if c.req.CutOff && !expected.endsWithin(c.req.Timeout) {
+		return
+	}
 	best := &c.accepting
 	if c.req.expectsRefusal(expected.RunTime, expected.QueueTime, c.now.Sub(t.loadAt)) {
 		c.skipped++
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -44,7 +44,7 @@
 //	q.Release(now, took) // starts queued requests through their Admitted channels
 //	q.Settle(now, request) // corrects the slots that a class is known to use
 //	q.Advance(now)       // periodically, while requests wait
-//	q.EndBy(now, end)    // when the backend server is to exit
+//	q.EndBy(now, end)    // when the backend server or the node is to exit
 package slot
 
 import (
@@ -121,6 +121,8 @@
 	nested      reservation
 	// outerRunTime is the mean run time of the requests that are not nested.
 	outerRunTime time.Duration
+	// end is when the backend server or the node may exit, or zero.
+	end time.Time
 }
 
 // initialRunTime is the assumed mean run time before any request has run.
@@ -234,6 +236,9 @@
 	if req.Rank == RankNested {
 		q.nested.arrived(now)
 	}
+	if !q.canStartAt(now, req) {
+		return Refused, 0
+	}
 	if q.mayStart(req.Rank) && q.upTo(req.Rank).requests == 0 && q.rate.Take(now) {
 		req.flow = c.findOrAdd(now, req.Customer)
 		q.start(now, req)
@@ -243,10 +248,10 @@
 	f := c.find(req.Customer)
 	after, ahead, own := q.position(now, req, f)
 	wait = max(q.waitBehind(now, req.Rank, ahead), q.shareWait(now, req, f, ahead, own))
-	if wait > req.MaxWait {
+	if wait > req.MaxWait || !q.canStartAt(now.Add(wait), req) {
 		return Refused, wait
 	}
-	req.waitUntil = now.Add(req.MaxWait)
+	req.waitUntil = q.boundWait(req, now.Add(req.MaxWait))
 	req.flow = c.findOrAdd(now, req.Customer)
 	c.push(req.flow, req, after)
 	q.queuedCount[req.Rank]++
--- a/internal/mesh/target/drain_test.go
+++ b/internal/mesh/target/drain_test.go
@@ -91,3 +91,30 @@
 	require.Equal(t, cicadaseam.ReasonDraining, answer.Reason)
 	require.Zero(t, target.Sent())
 }
+
+// Guards against requests of other nodes that start so late in the stop of this node that they are cut
+// off with its process, and against a stop that turns away what can be served.
+func TestNodeThatStopsRunsOnlyWhatCanEnd(t *testing.T) {
+	s := newFakeServer(t)
+	target := newTarget(s)
+	running := make(chan *cicadaseam.MeshAnswer, 4)
+	waiting := make(chan *cicadaseam.MeshAnswer, 1)
+	for range 2 {
+		go func() { running <- target.Run(context.Background(), request("q")) }()
+	}
+	require.Eventually(t, func() bool { return s.running.Load() == 2 }, 2*time.Second, time.Millisecond)
+	go func() { waiting <- target.Run(context.Background(), request("q")) }()
+	require.Eventually(t, func() bool { return target.Load(time.Now()).Queued == 1 }, 2*time.Second, time.Millisecond)
+	target.StopBy(time.Now(), time.Now().Add(50*time.Millisecond))
+	require.Equal(t, cicadaseam.ReasonDraining, (<-waiting).Reason)
+	close(s.release)
+	for range 2 {
+		require.Equal(t, cicadaseam.OutcomeRan, (<-running).Outcome)
+	}
+	answer := target.Run(context.Background(), request("q"))
+	require.Equal(t, cicadaseam.ReasonDraining, answer.Reason)
+
+	other := newTarget(s)
+	other.StopBy(time.Now(), time.Now().Add(5*time.Second))
+	require.Equal(t, cicadaseam.OutcomeRan, other.Run(context.Background(), request("q")).Outcome)
+}
--- a/internal/mesh/target/run.go
+++ b/internal/mesh/target/run.go
@@ -75,6 +75,9 @@
 	case slot.Started:
 		return s, slotReq, false, nil
 	case slot.Refused:
+		if t.isEndingLocked(s) {
+			return nil, nil, false, refusalLocked(now, s, cicadaseam.ReasonDraining, 0)
+		}
 		return nil, nil, false, refusalLocked(now, s, s.fullReason(), wait)
 	}
 	t.scheduleAdvance(s)
@@ -171,7 +174,7 @@
 
 // queueRefusal returns the answer to a request that the queue refused.
 func (t *Target) queueRefusal(s *server, slotReq *slot.Request) *cicadaseam.MeshAnswer {
-	if !t.sendBy(s).IsZero() {
+	if t.isEnding(s) {
 		return t.refusal(s, cicadaseam.ReasonDraining, 0) // that says nothing of the room elsewhere
 	}
 	return t.refusal(s, cicadaseam.ReasonQueueTimeout, t.estimateWait(s, slotReq))
@@ -244,6 +247,16 @@
 	return s.endsAt
 }
 
+// isEnding reports whether a server or this node is to exit.
+func (t *Target) isEnding(s *server) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isEndingLocked(s)
+}
+
+// isEndingLocked is isEnding for a caller that holds t.mu.
+func (t *Target) isEndingLocked(s *server) bool { return s.draining || !t.stopsAt.IsZero() }
+
 // beginRun records that a request is sent.
 func (t *Target) beginRun(now time.Time, s *server, call *cicadaseam.MeshCall) {
 	t.mu.Lock()
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -66,6 +66,8 @@
 	// drainTime is how long an instance serves after its draining was acknowledged. It is protected by
 	// mu.
 	drainTime time.Duration
+	// stopsAt is when this node may exit, or zero. It is protected by mu.
+	stopsAt time.Time
 
 	mu      sync.Mutex
 	tracker instanceTracker
@@ -139,6 +141,17 @@
 	t.drainTime = d
 }
 
+// StopBy is called when this node may exit at a time. From now on, only requests run that are expected
+// to end by then.
+func (t *Target) StopBy(now, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopsAt = at
+	if t.server != nil {
+		t.server.queue.EndBy(now, at)
+	}
+}
+
 // Announce handles an announcement of the backend server.
 func (t *Target) Announce(now time.Time, instance cicadaseam.Instance) {
 	t.mu.Lock()
@@ -244,6 +257,9 @@
 		knownFields:         map[string]bool{},
 	}
 	s.queue = slot.New(s.slots())
+	if !t.stopsAt.IsZero() {
+		s.queue.EndBy(now, t.stopsAt)
+	}
 	if instance.State == cicadaseam.BackendDraining {
 		s.drain(now, t.drainTime)
 	}
