upstream, runner: a response without an ID on a kept connection proves nothing

A faulty server writes an earlier refusal once more on a kept connection. With the ID of its request the copy was skipped before. Without an ID it was taken for the answer to the next request: the caller was told that this did not run while the server ran it, and the node sent it to a second server. Now, once a server has echoed an ID on a connection, a response without one counts as no answer to a request: the outcome is unknown. A request without an ID of its own takes a new connection. The client of `cicadaseam node` does the same.

A server breaks off in the head of its answer: this cannot happen here. Each prefix of a head, and of a body with a known end, is an error in both clients; two tests keep it so.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -206,8 +206,7 @@
 // and keepAlive is false when the connection cannot be reused after it.
 func readResponse(conn *connpool.Conn, req *http.Request, maxBody int) (r Result, own, keepAlive bool) {
 	resp, err := conn.ReadResponse(req, maxBody, func(resp *connpool.Response) bool {
-		echoedID := resp.Header.Get(HeaderRequestID)
-		own = echoedID == "" || echoedID == req.Header.Get(HeaderRequestID)
+		own = isOwn(conn, resp.Header.Get(HeaderRequestID), req.Header.Get(HeaderRequestID))
 		return own
 	})
 	if err != nil {
@@ -222,6 +221,19 @@
 	}, own, !resp.Close
 }
 
+// isOwn reports whether a response that echoes an ID is the one to the request with an ID. Not all
+// backend servers echo it.
+func isOwn(conn *connpool.Conn, echoedID, id string) bool {
+	if echoedID == "" {
+		return !conn.Echoes()
+	}
+	if echoedID != id {
+		return false
+	}
+	conn.SetEchoes()
+	return true
+}
+
 // newRequest returns the HTTP request for a call.
 func (r *Runner) newRequest(ctx context.Context, call *cicadaseam.Call) (*http.Request, error) {
 	u, err := url.ParseRequestURI(call.RequestURI)
--- a/internal/call/runner/runner_test.go
+++ b/internal/call/runner/runner_test.go
@@ -299,6 +299,46 @@
 	require.Equal(t, int64(1), connections.Load())
 }
 
+// Guards against a response that a faulty server writes once more without the ID of its request, on a
+// connection on which it has echoed one, and that is taken for the response to another call.
+func TestRepeatedResponseWithoutAnIDIsNotTakenForTheNextOne(t *testing.T) {
+	addr, _ := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n > 0 {
+				fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", HeaderRequestID, req.Header.Get(HeaderRequestID))
+		}
+	})
+	r := New(addr)
+	require.NoError(t, r.Run(context.Background(), &cicadaseam.Call{ID: "1", Method: "GET", RequestURI: "/x"}, 1<<10).Err)
+	result := r.Run(context.Background(), &cicadaseam.Call{ID: "2", Method: "GET", RequestURI: "/x"}, 1<<10)
+	require.True(t, result.Sent)
+	if result.Err == nil {
+		require.Equal(t, "ok", string(result.Body))
+	}
+}
+
+// Guards against a response whose head breaks off and that is taken for a complete one without a body.
+func TestResponseWhoseHeadBreaksOffIsAnError(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nhello, world"
+	var sent atomic.Int64
+	addr, _ := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			fmt.Fprint(c, text[:sent.Load()])
+		}
+	})
+	r := New(addr)
+	for n := range len(text) {
+		sent.Store(int64(n))
+		require.Error(t, r.Run(context.Background(), &cicadaseam.Call{Method: "GET", RequestURI: "/x"}, 1<<10).Err, "%q", text[:n])
+	}
+}
+
 // A response that breaks off must not be taken for a complete one, however its end is marked. A
 // body that ends with the connection breaks off unnoticed, so it never counts as complete.
 func TestResponseThatBreaksOffIsAnError(t *testing.T) {
--- a/internal/client/connpool/conn.go
+++ b/internal/client/connpool/conn.go
@@ -62,6 +62,8 @@
 	idleTimeout time.Duration
 	// carried holds a hash of the ID of each request that the connection has carried.
 	carried []uint64
+	// echoes is set once the server has echoed the ID of a request.
+	echoes bool
 }
 
 func newConn(nc net.Conn, idleTimeout time.Duration, budget *Budget) *Conn {
@@ -94,6 +96,13 @@
 
 func (c *Conn) close() { _ = c.nc.Close() } // the connection is discarded, so an error changes nothing
 
+// SetEchoes records that the server has echoed the ID of a request on this connection.
+func (c *Conn) SetEchoes() { c.echoes = true }
+
+// Echoes reports whether the server has echoed the ID of a request on this connection. A response
+// without an ID belongs to no request from then on: it may be a copy of one from another connection.
+func (c *Conn) Echoes() bool { return c.echoes }
+
 // SetIdleTimeout changes how long the connection may be idle.
 func (c *Conn) SetIdleTimeout(d time.Duration) { c.idleTimeout = d }
 
--- a/internal/client/connpool/connpool.go
+++ b/internal/client/connpool/connpool.go
@@ -12,7 +12,8 @@
 // A server may send a second copy of a response when the connection is in use again. The
 // copy is recognised by the ID of its request, so a connection carries no two requests with
 // the same ID. A user of the pool must not Put a connection after a response without an ID,
-// if its server echoes the ID of each request.
+// if its server echoes the ID of each request. On a connection on which the server has echoed an ID,
+// a response without one belongs to no request, see Conn.Echoes.
 //
 // The goroutine of a request writes the request and reads the response itself. Only a
 // body that may not fit the socket buffers is written by another goroutine, since a
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -5,7 +5,8 @@
 // A request is sent once, on a connection of package connpool. The backend server echoes
 // the ID of the request in its response. A response with another ID is stray: it answers
 // an earlier request, and is skipped. A connection carries no two requests with the same
-// ID, and none after a response without an ID.
+// ID, and none after a response without an ID. A response without an ID counts only if it is the
+// first one on its connection: a server that is faulty may write one that it has written before.
 //
 // # Invariants
 //
@@ -47,6 +48,8 @@
 	// non-idempotent request: the backend server may have dropped the connection without
 	// this side having noticed.
 	nonIdempotentMaxIdle = time.Second
+	// noIdle is below the idle time of any connection.
+	noIdle = -time.Second
 	// unlimitedIdle is longer than any connection stays idle.
 	unlimitedIdle = time.Hour
 	// maxResponses bounds the responses that are read for one request, stray ones
@@ -70,6 +73,7 @@
 var (
 	ErrTooManyStrayResponses = errors.New("too many responses with the ID of another request")
 	ErrMissingSeal           = errors.New("successful response without a seal header")
+	ErrUnidentified          = errors.New("response without an ID on a connection with responses that have one")
 	ErrMismatchedID          = errors.New("connection closed after a response with the ID of another request")
 )
 
@@ -165,10 +169,7 @@
 
 // connect returns a connection for a request, before sendBy.
 func (c *Client) connect(ctx context.Context, call *cicadaseam.MeshCall, sendBy time.Time) (*connpool.Conn, error) {
-	maxIdle := nonIdempotentMaxIdle
-	if call.Idempotent {
-		maxIdle = unlimitedIdle
-	}
+	maxIdle := maxIdleOf(call)
 	if sendBy.IsZero() {
 		return c.pool.Get(ctx, time.Now(), maxIdle, call.ID)
 	}
@@ -184,6 +185,18 @@
 	return nil, ErrTooLate
 }
 
+// maxIdleOf returns the longest idle time of a connection that is reused for a request. The response
+// to a request without an ID has none, and would not be told from a stray one.
+func maxIdleOf(call *cicadaseam.MeshCall) time.Duration {
+	switch {
+	case call.ID == "":
+		return noIdle
+	case call.Idempotent:
+		return unlimitedIdle
+	}
+	return nonIdempotentMaxIdle
+}
+
 // checkUnframed replaces a response whose body ended with its connection by an error if the backend
 // server is gone: then the body may have ended because the server crashed.
 func (c *Client) checkUnframed(ctx context.Context, r Result) Result {
@@ -224,7 +237,10 @@
 		case result.Err != nil:
 			return result, false
 		case matched == matchID:
+			conn.SetEchoes()
 			return c.classify(result), keepAlive
+		case matched == matchUnidentified && conn.Echoes():
+			return Result{Err: ErrUnidentified}, false
 		case matched == matchUnidentified:
 			// A second copy of a response without an ID could not be told from the response
 			// to the next request, so the connection is not used for one.
--- a/internal/mesh/upstream/upstream_test.go
+++ b/internal/mesh/upstream/upstream_test.go
@@ -161,6 +161,45 @@
 	}
 }
 
+// Guards against a refusal that a faulty server writes once more, on a kept connection, and that is
+// taken for the answer to a request which the server is running: the caller would be told that it did
+// not run, and it would run again elsewhere.
+func TestRepeatedRefusalDoesNotProveThatAnotherRequestDidNotRun(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"} {
+		for name, echoed := range map[string]string{"with its id": headers.RequestID + ": q1\r\n", "without an id": ""} {
+			for _, firstRefused := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s %s, after a refusal %v", status, name, firstRefused), func(t *testing.T) {
+					refusal := "HTTP/1.1 " + status + "\r\n" + echoed + headers.Rejected + ": 1\r\nContent-Length: 0\r\n\r\n"
+					first := okResponse("q1", "one")
+					if firstRefused {
+						first = refusal
+					}
+					seen := map[net.Conn]bool{}
+					c := New(startServer(t, func(n int, r *http.Request, nc net.Conn) bool {
+						text := first
+						if n > 1 {
+							text = okResponse(r.Header.Get(headers.RequestID), "two")
+						}
+						if n > 1 && seen[nc] {
+							text = refusal + text
+						}
+						seen[nc] = true
+						_, _ = io.WriteString(nc, text)
+						return true
+					}), headers)
+					require.NoError(t, do(t, c, call("q1")).Err)
+					r := do(t, c, call("q2"))
+					require.True(t, r.Sent)
+					require.False(t, r.Rejected)
+					if r.Err == nil {
+						require.Equal(t, "two", string(r.Body))
+					}
+				})
+			}
+		}
+	}
+}
+
 // A copy may also arrive after several further requests on the connection.
 func TestCopyOfAnOlderResponseIsNotTakenForOneWithTheSameID(t *testing.T) {
 	seen := map[net.Conn]bool{}
@@ -215,6 +254,37 @@
 	}
 }
 
+// Guards against a response that breaks off, anywhere in its head or in a body with a known end, and is
+// taken for a complete one with an empty or short body.
+func TestResponseThatBreaksOffAnywhereIsAnError(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + headers.RequestID + ": q\r\n" + headers.Seal + ": s\r\n"
+	for name, text := range map[string]string{
+		"length":       head + "Content-Length: 12\r\n\r\nhello, world",
+		"chunks":       head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"length last":  "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\nhi",
+		"no length":    head + "Connection: close\r\n\r\n",
+		"empty body":   head + "Content-Length: 0\r\n\r\n",
+		"without body": strings.Replace(head, "200 OK", "204 No Content", 1) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			c := New(startServer(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+				_, _ = io.WriteString(nc, text[:sent.Load()])
+				return false
+			}), headers)
+			for n := range len(text) {
+				sent.Store(int64(n))
+				r := do(t, c, call("q"))
+				require.Error(t, r.Err, "%q", text[:n])
+				require.True(t, r.Sent)
+				require.False(t, r.Rejected)
+			}
+			sent.Store(int64(len(text)))
+			require.NoError(t, do(t, c, call("q")).Err)
+		})
+	}
+}
+
 // A response without a length ends with its connection. If the connection is reset instead, or
 // the server is gone afterwards, the response is not complete.
 func TestAnswerWithoutLength(t *testing.T) {
