sidecar: a started node asks its peers for the requests that crash servers

Change: a node that joins asks the peers that it asks for departures for their quarantine too (request 16), before it is ready. Earlier releases do not know the request; their error counts as no answer. Of two states the stricter holds. Restarts of all processes at the same moment still lose it: it is in no store.

--- a/internal/call/quarantine/quarantine.go
+++ b/internal/call/quarantine/quarantine.go
@@ -21,6 +21,7 @@
 //	added := q.MergeMarks(now, marks)                  // received from another node
 //	wait, refused := q.Refused(now, fingerprint)
 //	marks = q.RecordSuccess(now, fingerprint) // send these to all nodes
+//	q.MergeSuspicions(now, other.Suspicions(now)) // in a process that has just started
 package quarantine
 
 import (
--- a/internal/call/quarantine/quarantine_test.go
+++ b/internal/call/quarantine/quarantine_test.go
@@ -77,3 +77,41 @@
 	require.Len(t, q.entries, MaxEntries)
 	require.Contains(t, q.cleared, markKey{MaxEntries + 9, strconv.Itoa(MaxEntries + 9)})
 }
+
+// Guards against a process that forgets at its start what other nodes know, or that takes over less
+// than it knows itself.
+func TestSuspicionsOfAnotherNodeAreTakenOver(t *testing.T) {
+	const period, memory = 20 * time.Second, 2 * time.Minute
+	newQuarantine := func() *Quarantine { return New(WithPeriod(period), WithMemory(memory)) }
+	other := newQuarantine()
+	other.RecordCrash(epoch, "a/1", []uint64{poison, 8})
+	other.RecordCrash(epoch, "b/1", []uint64{poison})
+	for _, test := range []struct {
+		name    string
+		at      time.Duration // when it is taken over
+		refused time.Duration // by then
+		next    time.Duration // refused after one more crash
+	}{
+		{"refused", 5 * time.Second, 15 * time.Second, period},
+		{"on probation", 30 * time.Second, 0, 2 * period},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q, at := newQuarantine(), epoch.Add(test.at)
+			q.MergeSuspicions(at, other.Suspicions(at))
+			q.MergeSuspicions(at, q.Suspicions(at))
+			wait, _ := q.Refused(at, poison)
+			require.Equal(t, test.refused, wait)
+			require.Empty(t, q.MergeMarks(at, []cicadaseam.CrashMark{{Fingerprint: 8, CrashID: "a/1"}}), "a late copy")
+			q.RecordCrash(at, "c/1", []uint64{poison, 8})
+			wait, _ = q.Refused(at, poison)
+			require.Equal(t, test.next, wait)
+			_, refused := q.Refused(at, 8)
+			require.True(t, refused, "the crash of before counts")
+		})
+	}
+	q := newQuarantine()
+	q.RecordCrash(epoch, "a/1", []uint64{poison})
+	q.RecordSuccess(epoch, poison)
+	q.MergeSuspicions(epoch, []cicadaseam.Suspicion{{Fingerprint: poison, CrashIDs: []string{"a/1"}, Period: period, Remaining: memory}})
+	require.False(t, q.HasMarks(), "it has succeeded since")
+}
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -96,7 +96,8 @@
 }
 
 // queryDeparted asks a few peers for the departed instances of this node's backend server, which
-// the directory has lost if the store was restored since. It returns how many answered.
+// the directory has lost if the store was restored since, and for the requests that crash backend
+// servers, which are in no directory. It returns how many answered.
 func (n *Node) queryDeparted(ctx context.Context) (answered int) {
 	asked := 0
 	for _, p := range n.fleet.Peers() {
@@ -106,6 +107,7 @@
 		asked++
 		if n.fetchDeparted(ctx, p.Heartbeat.Addr) {
 			answered++
+			n.fetchSuspicions(ctx, p.Heartbeat.Addr)
 		}
 	}
 	if answered > 0 {
@@ -147,6 +149,23 @@
 	return true
 }
 
+// fetchSuspicions asks a peer for the requests that may crash backend servers. Nodes of earlier
+// releases do not tell.
+func (n *Node) fetchSuspicions(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, departedQueryTimeout)
+	defer cancel()
+	data, err := n.bulkPool.Request(ctx, addr, method.Suspicions, nil)
+	var suspicions []cicadaseam.Suspicion
+	if err == nil {
+		err = method.Decode(data, &suspicions)
+	}
+	if err != nil {
+		n.logger.Info("cannot get the requests that crash backend servers from a peer", zap.String("peer", addr), logging.Error(err))
+		return
+	}
+	n.guard.MergeSuspicions(time.Now(), suspicions)
+}
+
 // tryJoin makes one attempt to join through the directory. written is set once the
 // record of this node is written, so that later attempts do not write it again.
 func (n *Node) tryJoin(ctx context.Context, written *bool) error {
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -90,6 +90,9 @@
 		}
 		departed := n.fleet.Departed(addr)
 		return method.Encode(&departed)
+	case method.Suspicions:
+		suspicions := n.guard.Suspicions(time.Now())
+		return method.Encode(&suspicions)
 	case method.Proof:
 		return n.answerProof(payload)
 	case method.Token:
--- a/internal/link/method/method.go
+++ b/internal/link/method/method.go
@@ -48,6 +48,8 @@
 	Proof uint8 = 14
 	// Token asks the owner of a customer's quota for tokens.
 	Token uint8 = 15
+	// Suspicions returns the requests that may crash backend servers, as the peer knows them.
+	Suspicions uint8 = 16
 )
 
 // Names maps the numbers of the requests to their names in metrics and logs.
@@ -55,7 +57,7 @@
 	Call: "call", Resolve: "resolve", Join: "join", ZoneSync: "zone",
 	Push: "push", Fetch: "fetch", Claim: "claim", Burn: "burn",
 	Status: "status", MeshCall: "run", Document: "document", Departed: "recall", Proof: "proof",
-	Token: "token",
+	Token: "token", Suspicions: "suspicions",
 }
 
 // Encode returns the encoded message.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -6,7 +6,8 @@
 //
 // A Guard combines the quarantine of one node with the crash marks that the node still
 // has to send to the others. Marks are sent with heartbeats. Each mark is sent several
-// times, because a heartbeat may be lost.
+// times, because a heartbeat may be lost. A process that starts asks a few nodes for all that they
+// know.
 //
 // # Usage
 //
@@ -74,6 +75,20 @@
 	g.enqueue(g.quarantine.MergeMarks(now, marks))
 }
 
+// Suspicions returns what this node knows of requests that may crash backend servers.
+func (g *Guard) Suspicions(now time.Time) []cicadaseam.Suspicion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Suspicions(now)
+}
+
+// MergeSuspicions adds what another node knows. A node asks for it when it starts.
+func (g *Guard) MergeSuspicions(now time.Time, list []cicadaseam.Suspicion) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.MergeSuspicions(now, list)
+}
+
 // RecordSuccess removes the marks of a request that succeeded, unless it is refused at
 // present, and queues the removal for the other nodes.
 func (g *Guard) RecordSuccess(now time.Time, fingerprint uint64) {
--- a/member.go
+++ b/member.go
@@ -133,3 +133,18 @@
 	// Cleared removes the mark: a request with the fingerprint has succeeded since the crash.
 	Cleared bool `msgpack:"k"`
 }
+
+// Suspicion is what a node knows of a request that may crash backend servers. Nodes that have just
+// started get those of other nodes.
+type Suspicion struct {
+	Fingerprint uint64
+	CrashIDs    []string // as in CrashMark
+	// Refused is set while the request is refused, and Probation after a refusal, when one more crash
+	// gets it refused again.
+	Refused   bool
+	Probation bool
+	// Period is the length of the latest refusal, or of the first one, and Remaining how much longer
+	// the present state lasts.
+	Period    time.Duration
+	Remaining time.Duration
+}
