--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
@@ -13,6 +14,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
+	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 )
 
 // Key prefixes of the directory: nodePrefix is followed by the name of a node,
@@ -83,7 +85,7 @@
 func (n *Node) joinThroughPeers(ctx context.Context) {
 	wait.Sleep(ctx, peerJoinDelay)
 	until := time.Now().Add(departedQueryTime)
-	for !n.joined.Load() || !n.departedKnown.Load() && time.Now().Before(until) {
+	for !n.joined.Load() || !n.knowsPast() && time.Now().Before(until) {
 		if !wait.Sleep(ctx, departedQueryPeriod) {
 			return
 		}
@@ -107,7 +109,9 @@
 		asked++
 		if n.fetchDeparted(ctx, p.Heartbeat.Addr) {
 			answered++
-			n.fetchSuspicions(ctx, p.Heartbeat.Addr)
+			if n.fetchSuspicions(ctx, p.Heartbeat.Addr) {
+				n.suspicionsKnown.Store(true)
+			}
 		}
 	}
 	if answered > 0 {
@@ -116,6 +120,9 @@
 	return answered
 }
 
+// knowsPast reports whether peers have told this process what happened before its start.
+func (n *Node) knowsPast() bool { return n.departedKnown.Load() && n.suspicionsKnown.Load() }
+
 // awaitDeparted waits a moment for the first peer to tell the departed instances, if the
 // directory has other nodes.
 func (n *Node) awaitDeparted(ctx context.Context) {
@@ -149,9 +156,9 @@
 	return true
 }
 
-// fetchSuspicions asks a peer for the requests that may crash backend servers. Nodes of earlier
-// releases do not tell.
-func (n *Node) fetchSuspicions(ctx context.Context, addr string) {
+// fetchSuspicions asks a peer for the requests that may crash backend servers. It reports whether the
+// peer answered. The answer of a node of an earlier release is an error.
+func (n *Node) fetchSuspicions(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, departedQueryTimeout)
 	defer cancel()
 	data, err := n.bulkPool.Request(ctx, addr, method.Suspicions, nil)
@@ -161,9 +168,11 @@
 	}
 	if err != nil {
 		n.logger.Info("cannot get the requests that crash backend servers from a peer", zap.String("peer", addr), logging.Error(err))
-		return
+		var remote *mux.RemoteError
+		return errors.As(err, &remote)
 	}
 	n.guard.MergeSuspicions(time.Now(), suspicions)
+	return true
 }
 
 // tryJoin makes one attempt to join through the directory. written is set once the
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -121,7 +121,9 @@
 	refusingCalls atomic.Bool
 	joined        atomic.Bool
 	// departedKnown is set once a peer has told which instances departed here.
-	departedKnown    atomic.Bool
+	departedKnown atomic.Bool
+	// suspicionsKnown is set once a peer has told which requests may crash backend servers.
+	suspicionsKnown  atomic.Bool
 	recordedDeparted sync.Map // of cicadaseam.Departure; those recorded in the directory
 	wg               sync.WaitGroup
 }
