sidecar: departures at other nodes do not push out a node's own

A node that started marked all of them in the tracker of its own server, which holds 64, and told its peers a random 64 as its own. After a restart it forgot that its server had left, and a late heartbeat brought the server back (DRAIN).

Change: the record of a departure names the node, in an extension that earlier releases ignore. A node takes its own, and remembers those without a node apart, without their announcements, so that they cost little and none is dropped. A departed instance whose record makes room for another one is remembered so too.

--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -61,6 +61,18 @@
 // departureRecord is the record of a departed instance in the directory.
 type departureRecord struct{ StartUnixMilli int64 }
 
+// departureExtension is the extension of a departureRecord: the address of the node beside which the
+// instance was. Records of earlier releases have none.
+type departureExtension struct {
+	Addr string `msgpack:"a"`
+}
+
+// departure is a departure as the directory has it.
+type departure struct {
+	cicadaseam.Departure
+	addr string // of its node, or empty
+}
+
 // join writes the record of this node to the directory and then reads those of the
 // others, until it succeeds or ctx ends. Because every node writes before it reads, of
 // two nodes that start at the same time at least the later reader finds the other.
@@ -203,17 +215,18 @@
 // applyDirectory adds the addresses of the nodes in the directory to the fleet and marks
 // the departed instances. It skips records that cannot be decoded.
 func (n *Node) applyDirectory(entries []cicadaseam.DirectoryEntry) {
-	var departed []cicadaseam.Departure
+	var departed []departure
 	nodes := 0
 	for _, entry := range entries {
 		if id, ok := strings.CutPrefix(entry.Key, departedPrefix); ok {
 			var record departureRecord
-			if err := pack.Unmarshal(entry.Value, &record); err != nil {
-				n.logger.Warn("departure without its start time", zap.String("key", entry.Key), logging.Error(err))
+			var x departureExtension
+			if err := pack.UnmarshalExtended(entry.Value, &record, &x); err != nil {
+				n.logger.Warn("departure without its start time or its node", zap.String("key", entry.Key), logging.Error(err))
 			}
 			d := cicadaseam.Departure{ID: id, StartUnixMilli: record.StartUnixMilli}
 			n.recordedDeparted.Store(d, true)
-			departed = append(departed, d)
+			departed = append(departed, departure{d, x.Addr})
 			continue
 		}
 		var record nodeRecord
@@ -224,7 +237,7 @@
 		n.fleet.AddAddr(record.Addr, record.Zone)
 		nodes++
 	}
-	n.target.MarkDeparted(time.Now(), departed)
+	n.addDepartures(departed)
 	n.logger.Info("directory read", zap.Int("nodes", nodes), zap.Int("left", len(departed)))
 }
 
@@ -263,7 +276,7 @@
 	if _, recorded := n.recordedDeparted.LoadOrStore(d, true); recorded {
 		return
 	}
-	entry, err := departureEntry(d)
+	entry, err := n.departureEntry(d)
 	if err != nil {
 		n.logger.Error("departure not encoded", zap.String("instance", d.ID), logging.Error(err))
 		return
--- a/internal/daemon/sidecar/records.go
+++ b/internal/daemon/sidecar/records.go
@@ -18,12 +18,32 @@
 	return cicadaseam.DirectoryEntry{Key: nodePrefix + n.settings.Name, Value: value}, err
 }
 
-// departureEntry returns the directory entry of a departed instance.
-func departureEntry(d cicadaseam.Departure) (cicadaseam.DirectoryEntry, error) {
+// departureEntry returns the directory entry of a departed instance of this node's backend server.
+func (n *Node) departureEntry(d cicadaseam.Departure) (cicadaseam.DirectoryEntry, error) {
 	value, err := pack.Marshal(&departureRecord{StartUnixMilli: d.StartUnixMilli})
+	if err == nil {
+		value, err = pack.AppendExtension(value, &departureExtension{Addr: n.settings.peerAddr()})
+	}
 	return cicadaseam.DirectoryEntry{Key: departedPrefix + d.ID, Value: value}, err
 }
 
+// addDepartures adds departures from the directory. Those at other nodes are of no use here, but
+// releases that do not tell the node may have recorded any of them.
+func (n *Node) addDepartures(records []departure) {
+	var own, unknown []cicadaseam.Departure
+	for _, r := range records {
+		switch r.addr {
+		case n.settings.peerAddr():
+			own = append(own, r.Departure)
+		case "":
+			unknown = append(unknown, r.Departure)
+		}
+	}
+	now := time.Now()
+	n.target.AddPast(now, unknown)
+	n.target.MarkDeparted(now, own)
+}
+
 // keepRecords writes the records of this node again after the store has come back from an older
 // copy.
 func (n *Node) keepRecords(ctx context.Context) {
@@ -112,7 +132,7 @@
 	entries := []cicadaseam.DirectoryEntry{entry}
 	departed := n.target.Departed()
 	for _, d := range departed {
-		if entry, err = departureEntry(d); err != nil {
+		if entry, err = n.departureEntry(d); err != nil {
 			return nil, nil, err
 		}
 		entries = append(entries, entry)
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -27,6 +27,8 @@
 package target
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,13 +212,39 @@
 	return t.tracker.departures()
 }
 
-// MarkDeparted marks instances as departed that did so before this process started.
+// MarkDeparted marks instances as departed that did so before this process started. Those that started
+// last are among Departed.
 func (t *Target) MarkDeparted(now time.Time, list []cicadaseam.Departure) {
-	for _, d := range list {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b cicadaseam.Departure) int { return cmp.Compare(b.StartUnixMilli, a.StartUnixMilli) })
+	latest := min(len(list), maxInstances/2)
+	t.AddPast(now, list[latest:])
+	for _, d := range list[:latest] {
 		t.markDeparted(now, d)
 	}
 }
 
+// AddPast records departures of instances that are probably none of the backend server beside this
+// node. They count if one of these announces itself here, and are not among Departed.
+func (t *Target) AddPast(now time.Time, list []cicadaseam.Departure) {
+	for _, d := range list {
+		if !t.addPast(d) {
+			t.markDeparted(now, d)
+		}
+	}
+}
+
+// addPast records a departure, and returns false if its instance has announced itself.
+func (t *Target) addPast(d cicadaseam.Departure) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tracker.instances[d.ID] != nil {
+		return false
+	}
+	t.tracker.addPast(d)
+	return true
+}
+
 // currentID returns the ID of the current instance, or "". t.mu must be held.
 func (t *Target) currentID() string {
 	if t.server == nil {
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -77,6 +77,37 @@
 	require.False(t, serving)
 }
 
+// Guards against a departure that is forgotten among those of many other instances, so that a late
+// announcement brings the server back.
+func TestDepartureIsNotForgottenAmongManyOthers(t *testing.T) {
+	const others = 2000
+	var list []cicadaseam.Departure
+	for i := range others {
+		list = append(list, cicadaseam.Departure{ID: strconv.Itoa(i), StartUnixMilli: int64(1000 + i)})
+	}
+	list = append(list, cicadaseam.Departure{ID: "a", StartUnixMilli: 500})
+	for name, mark := range map[string]func(target *Target){
+		"own":    func(target *Target) { target.MarkDeparted(epoch, list) },
+		"of all": func(target *Target) { target.MarkDeparted(epoch, list) },
+		"in turns": func(target *Target) {
+			target.MarkDeparted(epoch, list[others:])
+			target.MarkDeparted(epoch, list[:others])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := New(headers)
+			mark(target)
+			target.Announce(epoch, ready("a", 7, 500))
+			_, serving := target.Instance(epoch)
+			require.False(t, serving)
+			require.LessOrEqual(t, len(target.Departed()), maxInstances)
+			target.Announce(epoch, ready("a", 1, 501))
+			_, serving = target.Instance(epoch)
+			require.True(t, serving, "a later start under the ID")
+		})
+	}
+}
+
 // Guards against the loss of a departure: a server that starts again under its ID and is first heard
 // of as draining must be recorded as departed, like any other, so that no later message brings it back.
 func TestRestartThatIsFirstHeardOfAsDrainingHasDeparted(t *testing.T) {
--- a/internal/mesh/target/tracker.go
+++ b/internal/mesh/target/tracker.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// maxInstances bounds the number of instances that are remembered.
+	// maxInstances bounds the number of instances that are remembered with their announcements, and
+	// maxPast that of the other departed ones. An entry of these takes about 100 bytes.
 	maxInstances = 64
+	maxPast      = 1 << 16
 	// switchBackSilence is how long the current instance must have been silent before
 	// another instance that is already known may become the current one.
 	switchBackSilence = 3 * time.Second
@@ -43,9 +45,13 @@
 // state machine without a clock or lock of its own.
 type instanceTracker struct {
 	instances map[string]*record // by instance ID
+	// past holds, by ID, the start times of departed instances without a record: 0 if one is not known.
+	past map[string]int64
 }
 
-func newTracker() instanceTracker { return instanceTracker{instances: map[string]*record{}} }
+func newTracker() instanceTracker {
+	return instanceTracker{instances: map[string]*record{}, past: map[string]int64{}}
+}
 
 // announce records an announcement and classifies it. current is the ID of the
 // instance in use.
@@ -78,7 +84,12 @@
 // before the one in use, the announcement was delayed, and is stale.
 func (t *instanceTracker) announceFirst(now time.Time, current string, instance cicadaseam.Instance) announceResult {
 	t.evictOldest(current)
-	t.instances[instance.ID] = newRecord(now, instance)
+	r := newRecord(now, instance)
+	t.instances[instance.ID] = r
+	if t.isPast(&instance) {
+		r.departed = true
+		return announceStale
+	}
 	c := t.instances[current]
 	if c != nil && current != instance.ID && instance.StartUnixMilli > 0 && c.latest.StartUnixMilli > instance.StartUnixMilli {
 		return announceStale
@@ -106,6 +117,20 @@
 	return true
 }
 
+// isPast reports whether a start of an instance departed that had no record.
+func (t *instanceTracker) isPast(instance *cicadaseam.Instance) bool {
+	start, departed := t.past[instance.ID]
+	return departed && (start == 0 || instance.StartUnixMilli <= start)
+}
+
+// addPast remembers a departed instance without a record.
+func (t *instanceTracker) addPast(d cicadaseam.Departure) {
+	start, known := t.past[d.ID]
+	if known || len(t.past) < maxPast {
+		t.past[d.ID] = max(start, d.StartUnixMilli)
+	}
+}
+
 // departure returns the departure of an instance ID, and false if its latest start has not
 // departed.
 func (t *instanceTracker) departure(id string) (cicadaseam.Departure, bool) {
@@ -127,7 +152,8 @@
 }
 
 // evictOldest makes room for one more instance: when the tracker is full, it forgets
-// the instance, other than current, whose last announcement is the oldest.
+// the announcements of the instance, other than current, whose last one is the oldest. It still knows
+// whether that departed.
 func (t *instanceTracker) evictOldest(current string) {
 	if len(t.instances) < maxInstances {
 		return
@@ -138,5 +164,8 @@
 			oldest = id
 		}
 	}
+	if d, departed := t.departure(oldest); departed {
+		t.addPast(d)
+	}
 	delete(t.instances, oldest)
 }
