front, mux: the bodies of requests in progress share a budget

Cause: responses had a budget, requests had none; buffers that grow, copies for the link and for decoding took up to 170 MB for one request.

Change: package budget bounds the bodies of requests that callers send (503 before the body is read) and that nodes send each other (refused while it arrives; taken for a lack of room, not for a broken link). One large body is always served. Buffers whose length is known are allocated once.

The tests do not build without the change.

--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -43,9 +43,18 @@
 	return buf.Bytes(), err
 }
 
+// largeMessage is the size in bytes from which on the parts of a message are allocated at once, as
+// long as they say they are: a buffer that grows takes more than twice the memory meanwhile.
+const largeMessage = 1 << 20
+
 // Unmarshal decodes data into the message that is pointed to.
 func Unmarshal(data []byte, message any) error {
-	return msgpack.Unmarshal(data, message)
+	if len(data) < largeMessage {
+		return msgpack.Unmarshal(data, message)
+	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	decoder.DisableAllocLimit(true)
+	return decoder.Decode(message)
 }
 
 // AppendExtension appends an extension to an encoded message.
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -58,6 +58,8 @@
 		answer.Reason = cicadaseam.ReasonDeadline
 	case ctx.Err() != nil:
 		answer.Reason = cicadaseam.ReasonCanceled
+	case linkErr != nil && linkErr.Refused:
+		answer.Reason = cicadaseam.ReasonQueueFull // the peer has no room for the request
 	default:
 		r.node.logger.Info("link failed", zap.String("request", call.ID), zap.String("peer", addr), logging.Error(err))
 	}
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/base/release"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
@@ -171,7 +172,8 @@
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait))
 	n.bulkPool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(bulkPingTimeout), mux.WithHeartbeatInterval(bulkPingTimeout/4))
-	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest))
+	bodies := budget.New(front.DefaultBodyBudget)
+	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest), mux.WithBudget(bodies))
 	n.guard = guard.New()
 	n.prover, n.keyLoop.wake = keys.New(keys.WithLimit(s.KeyRevoke)), make(chan struct{}, 1)
 	n.delayEstimator = transit.New()
@@ -186,7 +188,7 @@
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithRetryBudget(dispatch.NewRetryBudget(now, retryBudget(s))), dispatch.WithKeyProofs(keyProofs{n}), dispatch.WithQuota(n.quota), dispatch.WithRollouts(n.rollouts.tracker))
-	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed), front.WithBudget(bodies))
 }
 
 // notifyPeers sends a heartbeat to the other nodes without waiting for the heartbeat period.
--- a/internal/link/frame/assemble.go
+++ b/internal/link/frame/assemble.go
@@ -1,6 +1,9 @@
 package frame
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // SequenceError reports that a frame of a message is missing, duplicated or out of order.
 type SequenceError struct {
@@ -50,6 +53,9 @@
 		a.data = make([]byte, 0, min(f.Total, firstBufferBytes))
 	}
 	a.nextSeq++
+	if len(a.data)+len(f.Data) > cap(a.data) {
+		a.data = slices.Grow(a.data, max(int(a.total)-len(a.data), 0)) // the peer sends as much as it said
+	}
 	a.data = append(a.data, f.Data...)
 	if f.Total != a.total || len(a.data) > int(a.total) {
 		return false, &LengthError{ID: f.ID, Want: a.total, Got: len(a.data)}
--- a/internal/link/mux/conn.go
+++ b/internal/link/mux/conn.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	sent := !p.state.CompareAndSwap(stateQueued, stateCanceled)
-	return &LinkError{Peer: linkErr.Peer, Sent: sent && linkErr.Sent, Reason: linkErr.Reason}
+	return &LinkError{Peer: linkErr.Peer, Sent: sent && linkErr.Sent, Reason: linkErr.Reason, Refused: linkErr.Refused}
 }
 
 // send gives the request an id and queues it in one step, so that ids increase on the wire and
@@ -278,7 +278,7 @@
 	case frame.Failure:
 		return result{err: &RemoteError{Peer: c.peer, Text: string(p.answer.Data())}}
 	case frame.Refused:
-		return result{err: &LinkError{Peer: c.peer, Sent: false, Reason: "refused: " + string(p.answer.Data())}}
+		return result{err: &LinkError{Peer: c.peer, Sent: false, Refused: true, Reason: "refused: " + string(p.answer.Data())}}
 	}
 	return result{data: p.answer.Data()}
 }
--- a/internal/link/mux/large_test.go
+++ b/internal/link/mux/large_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/link/frame"
 )
@@ -148,3 +149,51 @@
 	require.Error(t, err)
 	require.LessOrEqual(t, sent, frame.MaxMessageBytes+frame.MaxChunkBytes)
 }
+
+// Guards against requests that together take more memory than a process has: one that does not fit the
+// budget is refused, and its frames take no memory. The budget is free again after the answer, and after
+// the end of a connection in the middle of a request.
+func TestLargeRequestsStayWithinABudget(t *testing.T) {
+	const size = 40 << 20
+	b := budget.New(64 << 20)
+	release, started := make(chan struct{}), make(chan struct{}, 1)
+	server := NewServer(HandlerFunc(func(context.Context, uint8, []byte) ([]byte, error) {
+		started <- struct{}{}
+		<-release
+		return []byte("done"), nil
+	}), WithBudget(b))
+	defer server.Close()
+	timers := timer.New(rand.New(rand.NewPCG(1, 1)))
+	pool := NewPool(pipeNetwork{accept: server.serveConn}, timers)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go timers.Run(ctx)
+	go pool.Run(ctx)
+	first := make(chan error, 1)
+	go func() {
+		_, err := pool.Request(ctx, "peer", 1, make([]byte, size))
+		first <- err
+	}()
+	<-started
+	require.Equal(t, int64(size), b.Used())
+	_, err := pool.Request(ctx, "peer", 1, make([]byte, size))
+	var refused *LinkError
+	require.ErrorAs(t, err, &refused)
+	require.True(t, refused.Refused, "%v", err)
+	require.False(t, refused.Sent)
+	go func() { <-started; close(release) }()
+	_, err = pool.Request(ctx, "peer", 1, []byte("small"))
+	require.NoError(t, err)
+	require.NoError(t, <-first)
+	require.Eventually(t, func() bool { return b.Used() == 0 }, time.Second, time.Millisecond)
+
+	near, far := net.Pipe()
+	server.serveConn(far)
+	w := frame.NewWriter(near)
+	require.NoError(t, w.Write(&frame.Frame{Kind: frame.Hello, Method: frame.ProtocolVersion}))
+	require.NoError(t, w.Write(frame.Split(frame.Request, 1, 1, make([]byte, size))[0]))
+	require.NoError(t, w.Flush())
+	require.Eventually(t, func() bool { return b.Used() == size }, time.Second, time.Millisecond)
+	require.NoError(t, near.Close())
+	require.Eventually(t, func() bool { return b.Used() == 0 }, time.Second, time.Millisecond)
+}
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -64,6 +64,8 @@
 	// Sent is true if the peer may have received a byte of the request and did not refuse it.
 	Sent   bool
 	Reason string
+	// Refused is true if the peer answered that it does not take the request.
+	Refused bool
 }
 
 // Error implements error.
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/link/frame"
 )
@@ -17,6 +18,7 @@
 	handler  Handler
 	workers  *workerPool
 	counters Counters
+	budget   *budget.Budget // nil if large requests are not bounded
 
 	mu     sync.Mutex
 	conns  map[*serverConn]bool
@@ -26,9 +28,20 @@
 	unanswered atomic.Int64
 }
 
+// ServerOption configures a new Server.
+type ServerOption func(*Server)
+
+// WithBudget sets the budget for the requests in progress, which other parts of the process may share.
+// A request that does not fit it is refused while it arrives. Small requests are not counted.
+func WithBudget(b *budget.Budget) ServerOption { return func(s *Server) { s.budget = b } }
+
 // NewServer returns a server that passes requests to handler.
-func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, workers: newWorkerPool(), conns: map[*serverConn]bool{}}
+func NewServer(handler Handler, opts ...ServerOption) *Server {
+	s := &Server{handler: handler, workers: newWorkerPool(), conns: map[*serverConn]bool{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Counters returns the counters of the server.
@@ -52,7 +65,7 @@
 		queue:   newAnswerQueue(),
 		w:       frame.NewWriter(countingWriter{nc, &s.counters.BytesOut}),
 		running: map[uint64]context.CancelFunc{},
-		partial: map[uint64]*frame.Assembler{},
+		partial: map[uint64]*partialRequest{},
 	}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
@@ -115,7 +128,7 @@
 	running map[uint64]context.CancelFunc
 	// partial holds the incomplete requests by id, partialBytes is their size so far, and
 	// lastRequestID is the highest id of a request so far. They are used only by the reader.
-	partial       map[uint64]*frame.Assembler
+	partial       map[uint64]*partialRequest
 	partialBytes  int
 	lastRequestID uint64
 }
@@ -152,8 +165,17 @@
 	}
 }
 
+// partialRequest is a request that has not arrived completely, with its part of the budget.
+type partialRequest struct {
+	frame.Assembler
+	reserved budget.Reservation
+}
+
 func (c *serverConn) unregister() {
 	c.close()
+	for _, p := range c.partial {
+		c.server.release(&p.reserved)
+	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	delete(c.server.conns, c)
@@ -186,7 +208,11 @@
 			return true
 		}
 		c.lastRequestID = f.ID
-		a = &frame.Assembler{}
+		a = &partialRequest{}
+		if !c.server.reserve(&a.reserved, f.Total) {
+			c.send(frame.Refused, f.ID, []byte("large requests in progress take too much memory"))
+			return true // its other frames are dropped
+		}
 		c.partial[f.ID] = a
 	}
 	complete, err := a.Add(f)
@@ -199,25 +225,41 @@
 	}
 	delete(c.partial, f.ID)
 	c.partialBytes -= len(a.Data())
-	c.startRequest(f.ID, f.Method, a.Data())
+	c.startRequest(f.ID, f.Method, a)
 	return true
 }
 
+// reserve reserves memory for a request of a size, unless that is small.
+func (s *Server) reserve(r *budget.Reservation, size uint32) bool {
+	return s.budget == nil || size <= budget.SmallBody || s.budget.Resize(r, int64(size))
+}
+
+func (s *Server) release(r *budget.Reservation) {
+	if s.budget != nil {
+		s.budget.Release(r)
+	}
+}
+
 // startRequest runs the handler of a request on a worker. If the connection is closed or too many
 // requests are running, it refuses the request without calling the handler.
-func (c *serverConn) startRequest(id uint64, method uint8, payload []byte) {
+func (c *serverConn) startRequest(id uint64, method uint8, p *partialRequest) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.mu.Lock()
 	if c.closed || len(c.running)+c.queue.size() >= maxRequestsPerConn {
 		c.mu.Unlock()
 		cancel()
+		c.server.release(&p.reserved)
 		c.send(frame.Refused, id, []byte("too many requests on this connection"))
 		return
 	}
 	c.running[id] = cancel
 	c.mu.Unlock()
 	c.server.unanswered.Add(1)
-	c.server.workers.do(func() { c.serveRequest(ctx, id, method, payload) })
+	payload, reserved := p.Data(), p.reserved
+	c.server.workers.do(func() {
+		defer c.server.release(&reserved)
+		c.serveRequest(ctx, id, method, payload)
+	})
 }
 
 func (c *serverConn) serveRequest(ctx context.Context, id uint64, method uint8, payload []byte) {
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
@@ -23,6 +24,7 @@
 var (
 	errHeaderTooLarge = errors.New("request header too large")
 	errBodyTooLarge   = errors.New("request body too large")
+	errNoMemory       = errors.New("request bodies in progress take too much memory")
 	errRequestTimeout = errors.New("timeout while reading a request")
 	errMalformed      = errors.New("malformed request")
 	errClosing        = errors.New("connection idle or closing")
@@ -87,9 +89,12 @@
 	defer close(c.pipeline)
 	for {
 		req, body, err := c.readRequest()
-		if err == nil && c.startRequest(req, body) {
+		if err == nil && c.startRequest(req, &body) {
 			continue
 		}
+		if err != nil {
+			c.release(&body)
+		}
 		if err == nil || errors.Is(err, errClosing) {
 			return
 		}
@@ -110,6 +115,8 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, errRequestTimeout):
 		return http.StatusRequestTimeout
 	case errors.Is(err, errMalformed):
@@ -120,7 +127,11 @@
 
 // replyError replies to a request that could not be read and ends the connection.
 func (c *conn) replyError(status int) {
-	p := &pendingReply{reply: &dispatch.Reply{Status: status}, closeAfter: true, done: make(chan struct{})}
+	reply := &dispatch.Reply{Status: status}
+	if status == http.StatusServiceUnavailable {
+		reply.Headers = []cicadaseam.Header{{Name: "Retry-After", Value: noMemoryRetryAfter}}
+	}
+	p := &pendingReply{reply: reply, closeAfter: true, done: make(chan struct{})}
 	close(p.done)
 	if c.beginRequest() {
 		c.pipeline <- p
@@ -128,42 +139,20 @@
 }
 
 // readRequest reads one complete request.
-func (c *conn) readRequest() (*http.Request, []byte, error) {
+func (c *conn) readRequest() (*http.Request, body, error) {
 	if err := c.waitForRequest(); err != nil {
-		return nil, nil, err
+		return nil, body{}, err
 	}
 	limits := c.server.effectiveLimits()
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // the next read reports a failure
 	c.readLimit.N = int64(max(limits.MaxHeaderBytes+requestLineAllowance-c.r.Buffered(), 1))
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
-		return nil, nil, c.headerError(err)
+		return nil, body{}, c.headerError(err)
 	}
 	c.readLimit.N = math.MaxInt64
-	body, err := c.readBody(req, limits.MaxBodyBytes)
-	return req, body, err
-}
-
-// readBody reads the body of a request. limit is in bytes.
-func (c *conn) readBody(req *http.Request, limit int) ([]byte, error) {
-	if req.ContentLength == 0 {
-		return nil, nil
-	}
-	if req.ContentLength > int64(limit) {
-		return nil, errBodyTooLarge
-	}
-	c.sendContinue(req)
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)) // the next read reports a failure
-	body, err := io.ReadAll(io.LimitReader(req.Body, int64(limit)+1))
-	switch {
-	case isTimeout(err):
-		return nil, errRequestTimeout
-	case err != nil:
-		return nil, err
-	case len(body) > limit:
-		return nil, errBodyTooLarge
-	}
-	return body, nil
+	b, err := c.readBody(req, limits.MaxBodyBytes)
+	return req, b, err
 }
 
 // headerError returns the reason why a header could not be read, given the error of the
@@ -287,14 +276,15 @@
 }
 
 // startRequest starts a request. It returns false when no further request is to be read.
-func (c *conn) startRequest(req *http.Request, body []byte) bool {
+func (c *conn) startRequest(req *http.Request, b *body) bool {
 	if !c.beginRequest() {
+		c.release(b)
 		return false
 	}
 	p := &pendingReply{method: req.Method, done: make(chan struct{}), closeAfter: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load() || c.server.isCrowded()}
 	c.server.inFlight.Add(1)
 	c.pipeline <- p
-	go c.handle(p, newRequest(req, body))
+	go c.handle(p, newRequest(req, b.data), *b)
 	if p.closeAfter {
 		c.waitForClose()
 		return false
@@ -304,8 +294,9 @@
 
 // handle runs the handler for a request. Its context ends when the caller closes the
 // connection or the server cancels its requests.
-func (c *conn) handle(p *pendingReply, r *dispatch.Request) {
+func (c *conn) handle(p *pendingReply, r *dispatch.Request, b body) {
 	defer close(p.done)
+	defer c.release(&b)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	stop := context.AfterFunc(c.server.workCtx, cancel)
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -19,6 +19,7 @@
 //   - After a reply that closes the connection, no request from it is passed to the
 //     handler.
 //   - The number of idle connections is bounded, however often callers open new ones.
+//   - The bodies of the requests in progress stay within a budget.
 //
 // # Usage
 //
@@ -39,6 +40,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 )
@@ -59,6 +61,13 @@
 	largestHeaderBytes = 8 << 20
 	largestBodyBytes   = 64 << 20
 
+	// DefaultBodyBudget is the budget in bytes of a server without WithBudget.
+	DefaultBodyBudget = 64 << 20
+	// noMemoryRetryAfter is when the caller of a request that did not fit the budget is to come back.
+	noMemoryRetryAfter = "0.500"
+	// firstChunked is what is reserved first for a body of unknown length, in bytes.
+	firstChunked = 64 << 10
+
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds how long a caller may take to read a reply.
@@ -89,6 +98,7 @@
 type Server struct {
 	handler Handler
 	limits  func() cicadaseam.Limits
+	budget  *budget.Budget // of the bodies of requests in progress
 	// onDelayed is called with the route of a reply that was ready on time and is delivered late
 	// behind earlier ones.
 	onDelayed func(route string)
@@ -113,6 +123,11 @@
 // WithLimits sets the function that returns the limits in force.
 func WithLimits(f func() cicadaseam.Limits) Option { return func(s *Server) { s.limits = f } }
 
+// WithBudget sets the budget for the bodies of the requests in progress, which other parts of the
+// process may share. A request that does not fit it is refused, unread. The default is a budget of
+// DefaultBodyBudget bytes of its own.
+func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
+
 // WithOnDelayed sets a function that is called with the route of each reply that was ready within
 // its latency objective and is delivered after it, because replies to earlier requests of the
 // connection go first.
@@ -123,6 +138,7 @@
 	s := &Server{
 		handler:   handler,
 		limits:    func() cicadaseam.Limits { return cicadaseam.Limits{} },
+		budget:    budget.New(DefaultBodyBudget),
 		onDelayed: func(string) {},
 		conns:     map[*conn]bool{},
 	}
