revision: the source confirms what was assumed of a revision's keys

Until the next revision, a node whose assumption was right went on telling others that it did not know. Wording and order of fields in target.

--- a/internal/mesh/revision/keyed.go
+++ b/internal/mesh/revision/keyed.go
@@ -29,6 +29,15 @@
 	return s.keysExpected || current != nil && current.Keyed
 }
 
+// confirmKeyed records that the source has told what was assumed of the current revision.
+func (s *Syncer) confirmKeyed(current *cicadaseam.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == current {
+		s.keyedAssumed = false
+	}
+}
+
 // corrects reports whether a revision is the current one, as the source has it, where it was assumed
 // whether that is keyed.
 func (s *Syncer) corrects(a arrival) bool {
--- a/internal/mesh/revision/revision.go
+++ b/internal/mesh/revision/revision.go
@@ -176,7 +176,9 @@
 		return nil
 	}
 	if current != nil && a.Number == current.Number && sameContent(current, a.Revision) {
-		if a.from != fromSource {
+		if a.from == fromSource {
+			s.confirmKeyed(current)
+		} else {
 			s.adoptID(current, a.RevisionID)
 		}
 		return nil
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -74,11 +74,11 @@
 	mu      sync.Mutex
 	tracker instanceTracker
 	running map[string]runningRequest // by request ID
+	server  *server
 	guard   Guard
 	process uint64 // ID of this process
 	// crashCount is the number of crashes of all instances.
 	crashCount int
-	server     *server
 	onChange   func()
 	// onDeparted is called with an instance that departed by its answers.
 	onDeparted func(cicadaseam.Departure)
@@ -224,8 +224,8 @@
 	}
 }
 
-// AddPast records departures of instances that are probably none of the backend server beside this
-// node. They count if one of these announces itself here, and are not among Departed.
+// AddPast records departures of instances that may have been at another node. They count if one of
+// these instances announces itself here, and are not among Departed.
 func (t *Target) AddPast(now time.Time, list []cicadaseam.Departure) {
 	for _, d := range list {
 		if !t.addPast(d) {
