--- a/internal/mesh/dispatch/dispatch.go
+++ b/internal/mesh/dispatch/dispatch.go
@@ -247,27 +247,6 @@
 	return d
 }
 
-// EndBy is called when this node cancels at a time the requests that are in flight then. From now on,
-// a request is sent only to a target from which its answer is expected before.
-func (d *Dispatcher) EndBy(at time.Time) { d.endsAt.Store(&at) }
-
-// deadlineOf returns until when the reply to a request is due at this node.
-func (d *Dispatcher) deadlineOf(ex *exchange) time.Time {
-	if end := d.endsAt.Load(); end != nil && end.Before(ex.deadline) {
-		return *end
-	}
-	return ex.deadline
-}
-
-// requirements returns the requirements on the next target.
-func (d *Dispatcher) requirements(now time.Time, ex *exchange) Requirements {
-	req := ex.requirements(now)
-	if left := d.deadlineOf(ex).Sub(now) - replyMargin; left < req.Timeout {
-		req.Timeout, req.CutOff = left, true
-	}
-	return req
-}
-
 // SetRetryBudget changes the retry budget of the fleet.
 func (d *Dispatcher) SetRetryBudget(c RetryBudgetConfig) { d.budget.SetConfig(c) }
 
--- a/internal/mesh/dispatch/selector.go
+++ b/internal/mesh/dispatch/selector.go
@@ -202,15 +202,6 @@
 	return best.selection, true
 }
 
-// cutOffMargin is the multiple of its expected run time that a request must have left where it would
-// otherwise be canceled while it runs.
-const cutOffMargin = 1.5
-
-// endsWithin reports whether the answer is expected within a time, after which the request is canceled.
-func (s *Selection) endsWithin(d time.Duration) bool {
-	return time.Duration(cutOffMargin*float64(s.RunTime))+s.QueueTime+s.TransitTime <= d
-}
-
 // option is the best one of the candidates that were compared.
 type option struct {
 	selection Selection
