runner: a drain ends the waits for a connection

A call with a slot that waited for a connection was sent after the server had been drained.

Change: a drain ends those waits; the calls were not sent and are refused as not run. Calls on a connection go on.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -30,6 +30,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,8 +102,14 @@
 	// sem is a semaphore that bounds the connections in use.
 	sem         chan struct{}
 	poolOptions []connpool.Option
+	drainOnce   sync.Once
+	draining    chan struct{} // closed by Drain
 }
 
+// ErrDraining is the error in Result.Err for a call that waited for a connection when its backend
+// server was drained.
+var ErrDraining = errors.New("the backend server is draining")
+
 // Option configures a new Runner.
 type Option func(*Runner)
 
@@ -116,7 +123,7 @@
 
 // New returns a runner for the backend server at addr.
 func New(addr string, opts ...Option) *Runner {
-	r := &Runner{sem: make(chan struct{}, DefaultMaxConnections)}
+	r := &Runner{sem: make(chan struct{}, DefaultMaxConnections), draining: make(chan struct{})}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -127,6 +134,9 @@
 // Close closes the idle connections. From now on, none is kept for reuse.
 func (r *Runner) Close() { r.pool.Close() }
 
+// Drain ends the waits for a connection: those calls are not sent. The others go on.
+func (r *Runner) Drain() { r.drainOnce.Do(func() { close(r.draining) }) }
+
 // RefusesConnections reports whether no new connection to the backend server can be
 // opened, which distinguishes a crashed process from a process that closed a connection.
 func (r *Runner) RefusesConnections(ctx context.Context) bool { return r.pool.Probe(ctx) != nil }
@@ -160,7 +170,8 @@
 	return result
 }
 
-// acquire waits until one more connection may be in use, or the context ends.
+// acquire waits until one more connection may be in use, the context ends, or the backend server is
+// drained.
 func (r *Runner) acquire(ctx context.Context) error {
 	select {
 	case r.sem <- struct{}{}:
@@ -169,10 +180,18 @@
 	}
 	select {
 	case r.sem <- struct{}{}:
-		return nil
+	case <-r.draining:
+		return ErrDraining
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
+	select {
+	case <-r.draining: // at the same moment
+		r.release()
+		return ErrDraining
+	default:
+		return nil
+	}
 }
 
 // release undoes acquire.
--- a/internal/call/target/run.go
+++ b/internal/call/target/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
@@ -66,6 +67,8 @@
 		return &cicadaseam.Answer{Outcome: cicadaseam.OutcomeRan, Status: http.StatusBadGateway, Reason: cicadaseam.ReasonAnswerTooLarge}
 	case ctx.Err() != nil:
 		return &cicadaseam.Answer{Outcome: unansweredOutcome(result.Sent), Reason: cicadaseam.ReasonDeadline}
+	case errors.Is(result.Err, runner.ErrDraining):
+		return notRun(cicadaseam.ReasonDraining, retryAfterBusy)
 	case !result.Sent:
 		return notRun(cicadaseam.ReasonBackendLost, retryAfterBusy)
 	}
--- a/internal/call/target/target.go
+++ b/internal/call/target/target.go
@@ -215,6 +215,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.backend.State = state
+	if t.runner != nil {
+		t.runner.Drain()
+	}
 	t.deliver(t.admission.Drain(time.Now()))
 }
 
