--- a/internal/mesh/target/drain_test.go
+++ b/internal/mesh/target/drain_test.go
@@ -23,6 +23,11 @@
 		"departed, from a peer": func(target *Target, x cicadaseam.Instance) {
 			target.MarkDeparted(time.Now(), []cicadaseam.Departure{{ID: x.ID}})
 		},
+		"says so in an answer": func(target *Target, _ cicadaseam.Instance) {
+			target.mu.Lock()
+			defer target.mu.Unlock()
+			target.recordLeaving(time.Now(), target.server, "q")
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFakeServer(t)
