--- a/internal/mesh/target/crash_test.go
+++ b/internal/mesh/target/crash_test.go
@@ -13,24 +13,33 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/guard"
 )
 
-// crashWhileRunning announces an instance, which crashes while it runs the request with a fingerprint.
-func crashWhileRunning(t *testing.T, target *Target, x cicadaseam.Instance, fingerprint uint64) {
+// runWhileBreaking announces an instance that breaks the connection of the request with a fingerprint,
+// and with crash set also stops listening. It returns the answer.
+func runWhileBreaking(t *testing.T, target *Target, x cicadaseam.Instance, fingerprint uint64, crash bool) *cicadaseam.MeshAnswer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // a crash has closed it
 	go func() {
 		nc, err := l.Accept()
 		if err != nil {
 			return
 		}
 		_, _ = nc.Read(make([]byte, 1024))
-		_ = l.Close()
+		if crash {
+			_ = l.Close()
+		}
 		_ = nc.Close()
 	}()
 	x.Addr = l.Addr().String()
 	target.Announce(time.Now(), x)
 	call := request("q")
 	call.Fingerprint = fingerprint
-	answer := target.Run(context.Background(), call)
+	return target.Run(context.Background(), call)
+}
+
+// crashWhileRunning announces an instance, which crashes while it runs the request with a fingerprint.
+func crashWhileRunning(t *testing.T, target *Target, x cicadaseam.Instance, fingerprint uint64) {
+	answer := runWhileBreaking(t, target, x, fingerprint, true)
 	require.True(t, answer.ReachedBackend, "reason %v", answer.Reason)
 }
 
--- a/internal/mesh/target/target_test.go
+++ b/internal/mesh/target/target_test.go
@@ -343,34 +343,14 @@
 // no longer listens, the requests that it was running are reported.
 func TestCrashIsDistinguishedFromClosedConnection(t *testing.T) {
 	for _, crash := range []bool{false, true} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		go func() {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = nc.Read(make([]byte, 1024))
-			if crash {
-				_ = l.Close()
-			}
-			_ = nc.Close()
-		}()
 		crashes := &crashRecorder{}
-		target := New(headers, WithGuard(crashes))
-		x := ready("a", 1, 0)
-		x.Addr = l.Addr().String()
-		target.Announce(time.Now(), x)
-		call := request("q")
-		call.Fingerprint = 7
-		answer := target.Run(context.Background(), call)
+		answer := runWhileBreaking(t, New(headers, WithGuard(crashes)), ready("a", 1, 0), 7, crash)
 		require.Equal(t, cicadaseam.OutcomeUnknown, answer.Outcome)
 		if crash {
 			require.Equal(t, [][]uint64{{7}}, crashes.fingerprints)
 		} else {
 			require.Empty(t, crashes.fingerprints)
 		}
-		_ = l.Close()
 	}
 }
 
