front, mux: requests that do not arrive give way to others

What callers saw: 600 bodies that stop one byte short of their end kept out every POST of 4 KiB with 503. Crowds within the limits took up to 390 MB (1,500 heads of the smallest fields), 203 MB (300 bodies in chunks) and all 4,100 descriptors (4,200 idle connections); the smallest machine has 184 MB and 3,900.

Cause: the budget bounded bodies, and not who holds it for how long. Parsed heads and connections were in no budget; buffers that grow were counted once and held twice.

Change: a request that is arriving may be revoked (package budget): stalled ones first, then larger ones. Room remains for ordinary requests. A head is parsed when all of it is there and counts by its fields. Connections are bounded, and evict.go says which one is closed. Receive buffers are bounded. Requests that other nodes send in more than one frame share the budget; silent connections at the link address give way.

--- a/internal/client/netio/netio.go
+++ b/internal/client/netio/netio.go
@@ -36,7 +36,8 @@
 
 // Listen implements cicadaseam.Network.
 func (n *Network) Listen(addr string) (net.Listener, error) {
-	return net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: BoundReadBuffer}
+	return config.Listen(context.Background(), "tcp", addr)
 }
 
 // ListenPacket implements cicadaseam.Network.
--- a/internal/daemon/sidecar/settings.go
+++ b/internal/daemon/sidecar/settings.go
@@ -6,6 +6,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/settings"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/dispatch"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/fleet"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/keys"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/quota"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/rollout"
@@ -26,6 +27,8 @@
 	Advertise   string
 	MetricsAddr string
 	StoreAddr   string
+	// MaxConns is how many connections of callers may be open.
+	MaxConns int
 
 	// BackendAddr is the address of the backend server, and BackendLease the time for
 	// which it is used after its last announcement.
@@ -73,6 +76,7 @@
 		settings.Required(settings.Address(&s.LinkAddr, "listen", "links", "", "address for other nodes, TCP and UDP")),
 		settings.Address(&s.Advertise, "listen", "advertise", "", "address that other nodes use for links, if it differs"),
 		settings.Address(&s.MetricsAddr, "listen", "metrics", "", "address for metrics, HTTP; none when empty"),
+		settings.Int(&s.MaxConns, "listen", "connections", front.DefaultMaxConns, 16, 100000, "connections", "connections of callers that may be open; stalled and idle ones are closed for new ones beyond it"),
 		settings.Required(settings.Address(&s.StoreAddr, "store", "address", "", "address of the platform's store")),
 		settings.Address(&s.BackendAddr, "backend", "address", "", "address of the backend server; announcements of another one are ignored"),
 		settings.Duration(&s.BackendLease, "backend", "lease", target.DefaultLease, 100*time.Millisecond, 10*time.Minute, "time after which a backend server that is not announced again counts as gone"),
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -99,6 +99,7 @@
 	// slow link does not delay calls.
 	bulkPool       *mux.Pool
 	links          *mux.Server
+	requests       *budget.Budget // of the requests of callers and of other nodes in progress
 	fleet          *fleet.Fleet
 	syncer         *revision.Syncer
 	target         *target.Target
@@ -172,8 +173,8 @@
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait))
 	n.bulkPool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(bulkPingTimeout), mux.WithHeartbeatInterval(bulkPingTimeout/4))
-	bodies := budget.New(front.DefaultBodyBudget)
-	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest), mux.WithBudget(bodies))
+	n.requests = budget.New(front.DefaultBudget)
+	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest), mux.WithBudget(n.requests))
 	n.guard = guard.New()
 	n.prover, n.keyLoop.wake = keys.New(keys.WithLimit(s.KeyRevoke)), make(chan struct{}, 1)
 	n.delayEstimator = transit.New()
@@ -188,7 +189,7 @@
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithRetryBudget(dispatch.NewRetryBudget(now, retryBudget(s))), dispatch.WithKeyProofs(keyProofs{n}), dispatch.WithQuota(n.quota), dispatch.WithRollouts(n.rollouts.tracker))
-	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed), front.WithBudget(bodies))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed), front.WithBudget(n.requests), front.WithMaxConns(s.MaxConns))
 }
 
 // notifyPeers sends a heartbeat to the other nodes without waiting for the heartbeat period.
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -18,10 +18,12 @@
 	handler  Handler
 	workers  *workerPool
 	counters Counters
-	budget   *budget.Budget // nil if large requests are not bounded
+	budget   *budget.Budget // nil if requests are not bounded
+	maxConns int
 
 	mu     sync.Mutex
 	conns  map[*serverConn]bool
+	silent map[*serverConn]time.Time // those that have not sent their first frame, since when
 	closed bool
 	wg     sync.WaitGroup
 	// unanswered is the number of requests whose answers have not been written yet.
@@ -32,12 +34,15 @@
 type ServerOption func(*Server)
 
 // WithBudget sets the budget for the requests in progress, which other parts of the process may share.
-// A request that does not fit it is refused while it arrives. Small requests are not counted.
+// A request that does not fit it is refused while it arrives. Requests of one frame are not counted.
 func WithBudget(b *budget.Budget) ServerOption { return func(s *Server) { s.budget = b } }
 
+// WithMaxConns sets how many connections of peers may be open. The default is defaultMaxConns.
+func WithMaxConns(n int) ServerOption { return func(s *Server) { s.maxConns = n } }
+
 // NewServer returns a server that passes requests to handler.
 func NewServer(handler Handler, opts ...ServerOption) *Server {
-	s := &Server{handler: handler, workers: newWorkerPool(), conns: map[*serverConn]bool{}}
+	s := &Server{handler: handler, workers: newWorkerPool(), maxConns: defaultMaxConns, conns: map[*serverConn]bool{}, silent: map[*serverConn]time.Time{}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -78,7 +83,8 @@
 		_ = nc.Close() // the server is closed
 		return
 	}
-	s.conns[c] = true
+	s.evictFor(time.Now())
+	s.conns[c], s.silent[c] = true, time.Now()
 	s.wg.Add(2)
 	go c.readLoop()
 	go c.writeLoop()
@@ -123,6 +129,8 @@
 	writeMu sync.Mutex
 	w       *frame.Writer
 
+	lastRead atomic.Int64 // Unix nanoseconds
+
 	mu      sync.Mutex
 	closed  bool
 	running map[uint64]context.CancelFunc
@@ -152,13 +160,17 @@
 	defer c.unregister()
 	r := frame.NewReader(countingReader{c.netConn, &c.server.counters.BytesIn})
 	var f frame.Frame
+	_ = c.netConn.SetReadDeadline(time.Now().Add(helloTimeout)) // the next read reports a failure
 	if err := r.Read(&f); err != nil || f.Kind != frame.Hello || f.Method != frame.ProtocolVersion {
 		return
 	}
+	_ = c.netConn.SetReadDeadline(time.Time{}) // as above
+	c.server.greeted(c)
 	for {
 		if err := r.Read(&f); err != nil {
 			return
 		}
+		c.lastRead.Store(time.Now().UnixNano())
 		if !c.handleFrame(&f) {
 			return
 		}
@@ -169,16 +181,18 @@
 type partialRequest struct {
 	frame.Assembler
 	reserved budget.Reservation
+	counted  bool // it has a reservation
 }
 
 func (c *serverConn) unregister() {
 	c.close()
 	for _, p := range c.partial {
-		c.server.release(&p.reserved)
+		c.server.release(p)
 	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	delete(c.server.conns, c)
+	delete(c.server.silent, c)
 }
 
 // handleFrame returns false if the peer violated the protocol.
@@ -209,12 +223,18 @@
 		}
 		c.lastRequestID = f.ID
 		a = &partialRequest{}
-		if !c.server.reserve(&a.reserved, f.Total) {
-			c.send(frame.Refused, f.ID, []byte("large requests in progress take too much memory"))
+		if !c.reserve(a, f) {
+			c.refuse(f.ID)
 			return true // its other frames are dropped
 		}
 		c.partial[f.ID] = a
 	}
+	if a.counted && !c.server.budget.Progress(&a.reserved, len(f.Data), time.Now()) {
+		c.partialBytes -= len(a.Data())
+		delete(c.partial, f.ID)
+		c.refuse(f.ID)
+		return true
+	}
 	complete, err := a.Add(f)
 	c.partialBytes += len(f.Data)
 	if err != nil || len(c.partial) > maxRequestsPerConn || c.partialBytes > frame.MaxMessageBytes {
@@ -225,18 +245,39 @@
 	}
 	delete(c.partial, f.ID)
 	c.partialBytes -= len(a.Data())
+	if a.counted && !c.server.budget.Arrived(&a.reserved) {
+		c.refuse(f.ID)
+		return true
+	}
 	c.startRequest(f.ID, f.Method, a)
 	return true
 }
 
-// reserve reserves memory for a request of a size, unless that is small.
-func (s *Server) reserve(r *budget.Reservation, size uint32) bool {
-	return s.budget == nil || size <= budget.SmallBody || s.budget.Resize(r, int64(size))
+// reserve reserves memory for a request that begins with a frame, unless that is all of it.
+func (c *serverConn) reserve(p *partialRequest, f *frame.Frame) bool {
+	if c.server.budget == nil || f.End {
+		return true
+	}
+	p.counted = true
+	if !c.server.budget.Resize(&p.reserved, int64(f.Total), time.Now()) {
+		return false
+	}
+	c.server.budget.Arriving(&p.reserved, time.Now(), func(stalled bool) {
+		if stalled { // no frame of it may ever arrive
+			_ = c.netConn.Close() // ends readLoop, which releases all that the connection holds
+		}
+	})
+	return true
+}
+
+// refuse answers a request for which there is no memory. No handler has seen it.
+func (c *serverConn) refuse(id uint64) {
+	c.send(frame.Refused, id, []byte("requests in progress take too much memory"))
 }
 
-func (s *Server) release(r *budget.Reservation) {
-	if s.budget != nil {
-		s.budget.Release(r)
+func (s *Server) release(p *partialRequest) {
+	if p.counted {
+		s.budget.Release(&p.reserved)
 	}
 }
 
@@ -248,16 +289,17 @@
 	if c.closed || len(c.running)+c.queue.size() >= maxRequestsPerConn {
 		c.mu.Unlock()
 		cancel()
-		c.server.release(&p.reserved)
+		c.server.release(p)
 		c.send(frame.Refused, id, []byte("too many requests on this connection"))
 		return
 	}
 	c.running[id] = cancel
 	c.mu.Unlock()
 	c.server.unanswered.Add(1)
-	payload, reserved := p.Data(), p.reserved
+	payload := p.Data()
+	p.Assembler = frame.Assembler{} // the handler decodes the payload, which is not needed any more then
 	c.server.workers.do(func() {
-		defer c.server.release(&reserved)
+		defer c.server.release(p)
 		c.serveRequest(ctx, id, method, payload)
 	})
 }
--- a/internal/mesh/front/body.go
+++ b/internal/mesh/front/body.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -11,67 +10,165 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 )
 
-// body is the body of a request, with its part of the budget.
-type body struct {
-	data     []byte
-	reserved budget.Reservation
+// received is a request that has been read, with its part of the budget.
+type received struct {
+	request  *http.Request
+	body     []byte
+	headSize int64               // bytes that its head takes, as far as they are reserved
+	reserved *budget.Reservation // nil if it has none
 }
 
-// readBody reads the body of a request. limit is in bytes. The caller releases the body, also after an
-// error.
-func (c *conn) readBody(req *http.Request, limit int) (body, error) {
-	var b body
-	if req.ContentLength == 0 {
-		return b, nil
+// reserve changes the part of the budget that a request has to what its head takes and bodySize bytes.
+func (c *conn) reserve(in *received, bodySize int64) error {
+	size := in.headSize + bodySize
+	if in.reserved == nil {
+		if size == 0 {
+			return nil
+		}
+		in.reserved = &budget.Reservation{}
+	}
+	if !c.server.budget.Resize(in.reserved, size, time.Now()) {
+		return errNoMemory
+	}
+	return nil
+}
+
+// arriving lets the request be interrupted until it has arrived.
+func (c *conn) arriving(in *received) {
+	if in.reserved == nil {
+		in.reserved = &budget.Reservation{}
+	}
+	c.server.budget.Arriving(in.reserved, time.Now(), func(bool) { c.interrupt() })
+}
+
+// arrived ends the time in which the request may be interrupted.
+func (c *conn) arrived(in *received) error {
+	if in.reserved != nil && !c.server.budget.Arrived(in.reserved) || c.isInterrupted() {
+		return errNoMemory
 	}
-	if req.ContentLength > int64(limit) {
-		return b, errBodyTooLarge
+	return nil
+}
+
+// release returns the part of the budget that a request has.
+func (c *conn) release(in *received) {
+	if in.reserved != nil {
+		c.server.budget.Release(in.reserved)
 	}
-	size := req.ContentLength
-	if size < 0 {
-		size = firstChunked
+}
+
+// progress records that n bytes of the body have arrived.
+func (c *conn) progress(in *received, n int) {
+	if in.reserved != nil {
+		c.server.budget.Progress(in.reserved, n, time.Now())
 	}
-	if !c.server.budget.Resize(&b.reserved, size) {
-		return b, errNoMemory
+}
+
+// readBody reads the body of a request. limit is in bytes. The caller releases the request, also after
+// an error.
+func (c *conn) readBody(in *received, limit int) error {
+	length := in.request.ContentLength
+	switch {
+	case length == 0:
+		return nil
+	case length > int64(limit):
+		return errBodyTooLarge
 	}
-	c.sendContinue(req)
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)) // the next read reports a failure
+	c.sendContinue(in.request)
+	c.setReadDeadline(time.Now().Add(c.server.bodyTimeout))
 	var err error
-	if req.ContentLength > 0 {
-		b.data = make([]byte, req.ContentLength)
-		_, err = io.ReadFull(req.Body, b.data)
+	if length > 0 {
+		err = c.readSized(in, length)
 	} else {
-		err = c.readChunked(req.Body, limit, &b)
+		err = c.readChunked(in, limit)
+	}
+	switch {
+	case isTimeout(err) && c.isInterrupted():
+		return errNoMemory
+	case isTimeout(err):
+		return errRequestTimeout
+	}
+	return err
+}
+
+// readSized reads a body of a known length.
+func (c *conn) readSized(in *received, length int64) error {
+	if int64(c.r.Buffered()) < length { // the rest may never arrive
+		c.arriving(in)
 	}
-	if isTimeout(err) {
-		err = errRequestTimeout
+	if err := c.reserve(in, length); err != nil {
+		return err
 	}
-	return b, err
+	in.body = make([]byte, length)
+	return c.fill(in, in.body)
 }
 
-// readChunked reads a body of unknown length, and reserves more as it grows.
-func (c *conn) readChunked(r io.Reader, limit int, b *body) error {
-	var buf bytes.Buffer
-	for size := int64(firstChunked); ; size = min(2*size, int64(limit)+1) {
-		if !c.server.budget.Resize(&b.reserved, size) {
-			return errNoMemory
+// fill reads as many bytes of the body as buf holds.
+func (c *conn) fill(in *received, buf []byte) error {
+	for len(buf) > 0 {
+		n, err := in.request.Body.Read(buf)
+		buf = buf[n:]
+		c.progress(in, n)
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && len(buf) > 0:
+			return io.ErrUnexpectedEOF
+		case !errors.Is(err, io.EOF):
+			return err
+		}
+	}
+	return nil
+}
+
+// readChunked reads a body of unknown length. It is read into buffers that double in size, and joined
+// at its end: while that is done, it takes twice its size.
+func (c *conn) readChunked(in *received, limit int) error {
+	c.arriving(in)
+	var buffers [][]byte
+	size, reserved := 0, 0
+	for {
+		next := min(max(reserved, firstChunked), limit+1-reserved) // one byte over the limit shows that the body is too large
+		if err := c.reserve(in, int64(reserved+next)); err != nil {
+			return err
 		}
-		missing := size - int64(buf.Len())
-		buf.Grow(int(missing))
-		n, err := io.CopyN(&buf, r, missing)
+		reserved += next
+		buf := make([]byte, next)
+		n, err := c.fillChunk(in, buf)
+		buffers = append(buffers, buf[:n])
+		size += n
 		switch {
-		case buf.Len() > limit:
+		case size > limit:
 			return errBodyTooLarge
 		case errors.Is(err, io.EOF):
-			b.data = buf.Bytes()
-			c.server.budget.Resize(&b.reserved, int64(buf.Len())) // it is smaller
-			return nil
+			return c.join(in, buffers, size)
 		case err != nil:
 			return err
-		case n < missing:
-			return io.ErrUnexpectedEOF
 		}
 	}
 }
 
-func (c *conn) release(b *body) { c.server.budget.Release(&b.reserved) }
+// fillChunk reads into buf until it is full or the body has ended, which is io.EOF.
+func (c *conn) fillChunk(in *received, buf []byte) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var read int
+		read, err = in.request.Body.Read(buf[n:])
+		n += read
+		c.progress(in, read)
+	}
+	return n, err
+}
+
+// join sets the body to the contents of buffers, which have a size together.
+func (c *conn) join(in *received, buffers [][]byte, size int) error {
+	if len(buffers) == 1 {
+		in.body = buffers[0]
+		return nil
+	}
+	if err := c.reserve(in, 2*int64(size)); err != nil {
+		return err
+	}
+	in.body = make([]byte, 0, size)
+	for _, b := range buffers {
+		in.body = append(in.body, b...)
+	}
+	return c.reserve(in, int64(size))
+}
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,7 +24,7 @@
 var (
 	errHeaderTooLarge = errors.New("request header too large")
 	errBodyTooLarge   = errors.New("request body too large")
-	errNoMemory       = errors.New("request bodies in progress take too much memory")
+	errNoMemory       = errors.New("requests in progress take too much memory")
 	errRequestTimeout = errors.New("timeout while reading a request")
 	errMalformed      = errors.New("malformed request")
 	errClosing        = errors.New("connection idle or closing")
@@ -36,21 +36,25 @@
 // conn is a connection of a caller. Its two goroutines, readLoop and writeLoop, are joined
 // by pipeline.
 type conn struct {
-	server    *Server
-	nc        net.Conn
-	raw       syscall.RawConn  // nil if the connection gives no access to its socket
-	readLimit io.LimitedReader // bounds the bytes of a header
-	r         *bufio.Reader
-	ctx       context.Context // ends when the connection is closed by either side or broken
-	cancel    context.CancelFunc
-	pipeline  chan *pendingReply // in the order of the requests
-	readDone  chan struct{}      // closed when readLoop ends
+	server   *Server
+	nc       net.Conn
+	raw      syscall.RawConn // nil if the connection gives no access to its socket
+	r        *bufio.Reader   // used by readLoop
+	source   *http1.Source   // of r
+	ctx      context.Context // ends when the connection is closed by either side or broken
+	cancel   context.CancelFunc
+	pipeline chan *pendingReply // in the order of the requests
+	readDone chan struct{}      // closed when readLoop ends
+	// interrupted is set when the request that is arriving gives way to others.
+	interrupted atomic.Bool
+	evicted     bool // gives way to a new connection; guarded by the lock of the server
 
 	mu sync.Mutex
 	// inFlight counts the requests that were read and not answered yet.
 	inFlight int
 	// receiving is set from the first byte of a request until it is counted as in flight.
-	receiving bool
+	receiving      bool
+	receivingSince time.Time // valid while receiving is set
 	// used is set once a request has been received.
 	used bool
 	// closeIfIdle is set at a shutdown: the connection closes when it has no request.
@@ -76,8 +80,8 @@
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn() // without it, only bytes that readLoop has read count as arrived
 	}
-	c.readLimit.R = nc
-	c.r = bufio.NewReader(&c.readLimit)
+	c.source = http1.NewSource(nc)
+	c.r = bufio.NewReaderSize(c.source, readBufferBytes)
 	return c
 }
 
@@ -88,12 +92,12 @@
 	defer close(c.readDone)
 	defer close(c.pipeline)
 	for {
-		req, body, err := c.readRequest()
-		if err == nil && c.startRequest(req, &body) {
+		in, err := c.readRequest()
+		if err == nil && c.startRequest(in) {
 			continue
 		}
 		if err != nil {
-			c.release(&body)
+			c.release(in)
 		}
 		if err == nil || errors.Is(err, errClosing) {
 			return
@@ -139,43 +143,24 @@
 }
 
 // readRequest reads one complete request.
-func (c *conn) readRequest() (*http.Request, body, error) {
+func (c *conn) readRequest() (*received, error) {
+	in := &received{}
 	if err := c.waitForRequest(); err != nil {
-		return nil, body{}, err
+		return in, err
 	}
 	limits := c.server.effectiveLimits()
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // the next read reports a failure
-	c.readLimit.N = int64(max(limits.MaxHeaderBytes+requestLineAllowance-c.r.Buffered(), 1))
-	req, err := http.ReadRequest(c.r)
-	if err != nil {
-		return nil, body{}, c.headerError(err)
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	if err := c.readHead(in, limits.MaxHeaderBytes+requestLineAllowance); err != nil {
+		return in, err
 	}
-	c.readLimit.N = math.MaxInt64
-	b, err := c.readBody(req, limits.MaxBodyBytes)
-	return req, b, err
-}
-
-// headerError returns the reason why a header could not be read, given the error of the
-// read.
-func (c *conn) headerError(err error) error {
-	switch {
-	case c.readLimit.N <= 0:
-		return errHeaderTooLarge
-	case isTimeout(err):
-		return errRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isConnError(err):
-		return err
+	if err := c.readBody(in, limits.MaxBodyBytes); err != nil {
+		return in, err
 	}
-	return errors.Wrap(errMalformed, err.Error())
+	return in, c.arrived(in)
 }
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-func isConnError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
-}
-
 // sendContinue sends "100 Continue" to a caller that expects it before it sends its body,
 // unless replies to earlier requests are still due.
 func (c *conn) sendContinue(req *http.Request) {
@@ -192,16 +177,16 @@
 // waitForRequest waits for the first byte of a request. It returns errClosing when the
 // connection is closing or was idle for too long.
 func (c *conn) waitForRequest() error {
-	c.readLimit.N = math.MaxInt64
+	c.shrinkBuffer()
 	for {
-		if c.setIdleDeadline() {
+		if c.isInterrupted() || c.setIdleDeadline() {
 			return errClosing
 		}
 		_, err := c.r.Peek(1)
 		if err == nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.receiving, c.used = true, true
+			c.receiving, c.used, c.receivingSince = true, true, time.Now()
 			return nil
 		}
 		if !isTimeout(err) {
@@ -275,16 +260,24 @@
 	return true
 }
 
+// hasRequests reports whether a request is in progress on the connection.
+func (c *conn) hasRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight > 0
+}
+
 // startRequest starts a request. It returns false when no further request is to be read.
-func (c *conn) startRequest(req *http.Request, b *body) bool {
+func (c *conn) startRequest(in *received) bool {
 	if !c.beginRequest() {
-		c.release(b)
+		c.release(in)
 		return false
 	}
+	req := in.request
 	p := &pendingReply{method: req.Method, done: make(chan struct{}), closeAfter: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load() || c.server.isCrowded()}
 	c.server.inFlight.Add(1)
 	c.pipeline <- p
-	go c.handle(p, newRequest(req, b.data), *b)
+	go c.handle(p, newRequest(req, in.body), in)
 	if p.closeAfter {
 		c.waitForClose()
 		return false
@@ -294,9 +287,9 @@
 
 // handle runs the handler for a request. Its context ends when the caller closes the
 // connection or the server cancels its requests.
-func (c *conn) handle(p *pendingReply, r *dispatch.Request, b body) {
+func (c *conn) handle(p *pendingReply, r *dispatch.Request, in *received) {
 	defer close(p.done)
-	defer c.release(&b)
+	defer c.release(in)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	stop := context.AfterFunc(c.server.workCtx, cancel)
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -19,7 +19,11 @@
 //   - After a reply that closes the connection, no request from it is passed to the
 //     handler.
 //   - The number of idle connections is bounded, however often callers open new ones.
-//   - The bodies of the requests in progress stay within a budget.
+//   - The requests in progress stay within a budget. A request that does not arrive, or not soon, gives
+//     way to others: its caller is told that it did not run.
+//   - The number of connections is bounded. When there are too many, those whose requests do not
+//     arrive are closed first, then unused ones and idle ones. One with a request in progress is never
+//     closed for another.
 //
 // # Usage
 //
@@ -61,15 +65,24 @@
 	largestHeaderBytes = 8 << 20
 	largestBodyBytes   = 64 << 20
 
-	// DefaultBodyBudget is the budget in bytes of a server without WithBudget.
-	DefaultBodyBudget = 64 << 20
+	// DefaultBudget is the budget in bytes of a server without WithBudget. With the budget for
+	// responses and the connections, it fits the smallest process, which has 184 MB.
+	DefaultBudget = 40 << 20
+	// DefaultMaxConns is the number of connections of a server without WithMaxConns.
+	DefaultMaxConns = 1024
+	// crowdedConns is the number of connections beyond which further ones get receive buffers of
+	// crowdedReadBuffer bytes, as what they hold unread counts as memory of the process.
+	crowdedConns      = 256
+	crowdedReadBuffer = 16 << 10
+	// maxEvicting bounds the evicted connections whose callers get a reply.
+	maxEvicting = 128
 	// noMemoryRetryAfter is when the caller of a request that did not fit the budget is to come back.
 	noMemoryRetryAfter = "0.500"
 	// firstChunked is what is reserved first for a body of unknown length, in bytes.
-	firstChunked = 64 << 10
+	firstChunked = 4 << 10
 
-	// bodyTimeout bounds how long a caller may take to send a body.
-	bodyTimeout = 30 * time.Second
+	// defaultBodyTimeout bounds how long a caller may take to send a body.
+	defaultBodyTimeout = 30 * time.Second
 	// writeTimeout bounds how long a caller may take to read a reply.
 	writeTimeout = 20 * time.Second
 	// maxPipelined bounds the queue of pending replies of a connection. No further
@@ -98,20 +111,25 @@
 type Server struct {
 	handler Handler
 	limits  func() cicadaseam.Limits
-	budget  *budget.Budget // of the bodies of requests in progress
+	budget  *budget.Budget // of the requests in progress
 	// onDelayed is called with the route of a reply that was ready on time and is delivered late
 	// behind earlier ones.
 	onDelayed func(route string)
 
 	draining atomic.Bool
 	inFlight atomic.Int64 // requests that are not answered yet
+	// evictions counts the connections that were closed for others.
+	evictions atomic.Int64
 
 	// workCtx ends when the requests in flight are canceled.
 	workCtx    context.Context
 	cancelWork context.CancelFunc
 
 	mu           sync.Mutex
+	maxConns     int
+	bodyTimeout  time.Duration
 	conns        map[*conn]bool
+	evicting     int // connections that are evicted and not closed yet
 	shuttingDown bool
 	wg           sync.WaitGroup // of the connections
 	accepting    sync.WaitGroup // of Serve
@@ -123,11 +141,22 @@
 // WithLimits sets the function that returns the limits in force.
 func WithLimits(f func() cicadaseam.Limits) Option { return func(s *Server) { s.limits = f } }
 
-// WithBudget sets the budget for the bodies of the requests in progress, which other parts of the
-// process may share. A request that does not fit it is refused, unread. The default is a budget of
-// DefaultBodyBudget bytes of its own.
+// WithBudget sets the budget for the requests in progress, which other parts of the process may share.
+// A request that does not fit it is refused. The default is a budget of DefaultBudget bytes of its own.
 func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
 
+// WithMaxConns sets how many connections may be open. The default, also for 0, is DefaultMaxConns.
+func WithMaxConns(n int) Option {
+	return func(s *Server) {
+		if n > 0 {
+			s.maxConns = n
+		}
+	}
+}
+
+// WithBodyTimeout sets how long a caller may take to send a body. The default is 30 s.
+func WithBodyTimeout(d time.Duration) Option { return func(s *Server) { s.bodyTimeout = d } }
+
 // WithOnDelayed sets a function that is called with the route of each reply that was ready within
 // its latency objective and is delivered after it, because replies to earlier requests of the
 // connection go first.
@@ -136,11 +165,13 @@
 // New returns a server that passes requests to handler.
 func New(handler Handler, opts ...Option) *Server {
 	s := &Server{
-		handler:   handler,
-		limits:    func() cicadaseam.Limits { return cicadaseam.Limits{} },
-		budget:    budget.New(DefaultBodyBudget),
-		onDelayed: func(string) {},
-		conns:     map[*conn]bool{},
+		handler:     handler,
+		limits:      func() cicadaseam.Limits { return cicadaseam.Limits{} },
+		budget:      budget.New(DefaultBudget),
+		maxConns:    DefaultMaxConns,
+		bodyTimeout: defaultBodyTimeout,
+		onDelayed:   func(string) {},
+		conns:       map[*conn]bool{},
 	}
 	s.workCtx, s.cancelWork = context.WithCancel(context.Background())
 	for _, opt := range opts {
@@ -171,12 +202,19 @@
 }
 
 func (s *Server) startConn(nc net.Conn) {
-	c := newConn(s, nc)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.evictFor(time.Now()) {
+		_ = nc.Close() // nothing was read from it
+		return
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok && len(s.conns) >= crowdedConns {
+		_ = tcp.SetReadBuffer(crowdedReadBuffer) // the next read reports a failure
+	}
+	c := newConn(s, nc)
 	s.conns[c] = true
 	c.closeIfIdle = s.shuttingDown
 	s.wg.Add(2)
-	s.mu.Unlock()
 	go c.readLoop()
 	go c.writeLoop()
 }
@@ -185,8 +223,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.evicted {
+		s.evicting--
+	}
 }
 
+// Close closes all connections at once, and waits until their goroutines have ended.
+func (s *Server) Close() {
+	s.CancelRequests()
+	s.mu.Lock()
+	for c := range s.conns {
+		c.cancel()
+		_ = c.nc.Close() // it is given up
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// Evictions returns how many connections were closed for others.
+func (s *Server) Evictions() int64 { return s.evictions.Load() }
+
 // isCrowded reports whether more connections are open than are kept between requests.
 func (s *Server) isCrowded() bool {
 	s.mu.Lock()
