sidecar: the addresses for control have small bounds of their own

Cause: the server of the standard library takes heads of 1 MiB and any number of connections, and keeps idle ones for ever.

--- a/internal/daemon/sidecar/listen.go
+++ b/internal/daemon/sidecar/listen.go
@@ -83,6 +83,6 @@
 		}
 	}
 	for _, s := range n.servers {
-		_ = s.Close() // the answers that matter have been written
+		s.Close() // the answers that matter have been written
 	}
 }
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -65,9 +65,6 @@
 	// long a call waits for the link before another node is tried.
 	linkDialTimeout    = 2 * time.Second
 	linkMaxConnectWait = 250 * time.Millisecond
-	// readHeaderTimeout bounds the time in which a client of the readiness, registry or
-	// metrics address sends the header of a request.
-	readHeaderTimeout = 5 * time.Second
 )
 
 // Platform holds what the environment of a sidecar provides.
@@ -115,7 +112,7 @@
 	droppedLines   func() int64
 
 	listeners struct{ calls, ready, registry, links, metrics net.Listener }
-	servers   []*http.Server
+	servers   []*front.Server // of the listeners for readiness, registry and metrics
 
 	// leaving is set at SIGTERM, and refusingCalls after the drain delay, from when on
 	// calls of other nodes are refused.
@@ -346,10 +343,12 @@
 	}()
 }
 
+// serveHTTP serves a listener that is not for callers. Its requests have a small budget of their own,
+// so that a crowd of callers does not keep them out, nor they the callers.
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(n.logger)}
+	server := front.NewControl(h, n.logger)
 	n.servers = append(n.servers, server)
-	n.startTask(func() { _ = server.Serve(l) }) // returns when the server is closed
+	n.startTask(func() { server.Serve(l) }) // returns when the listener is closed
 }
 
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
