node: calls, operators and the backend server are served within bounds

Cause: a node had no bound on its requests together; the server of the standard library took heads of 1 MiB.

Change: the three addresses are served by package front, as in a sidecar: calls with a budget of 24 MiB, control with small bounds of its own. Requests of other nodes have a budget of their own, so that a crowd of callers does not hold up the configuration.

--- a/internal/config/tree/schema.go
+++ b/internal/config/tree/schema.go
@@ -26,6 +26,9 @@
 	KeyQuarantine      = "quarantine"
 )
 
+// LargestMaxBody is the largest value of KeyMaxBody, in bytes.
+const LargestMaxBody = 16 << 20
+
 // checkFunc checks a value and returns the problem with it, or "".
 type checkFunc func(value string) string
 
@@ -47,7 +50,7 @@
 	KeyRetryShare:      {check: shareIn(0, 1), unit: "share of successful calls", defaultValue: "0.1"},
 	KeyQueueWait:       {check: durationIn(0, time.Minute), unit: "duration", defaultValue: "250ms"},
 	KeyQueueLength:     {check: intIn(0, 100000), unit: "count", defaultValue: "200"},
-	KeyMaxBody:         {check: intIn(0, 16<<20), unit: "bytes", defaultValue: "1048576"},
+	KeyMaxBody:         {check: intIn(0, LargestMaxBody), unit: "bytes", defaultValue: "1048576"},
 	KeyMaxAnswer:       {check: intIn(1, 64<<20), unit: "bytes", defaultValue: "8388608"},
 	KeyObjective:       {check: shareIn(0.5, 0.99999), unit: "share of calls in deadline", defaultValue: "0.99"},
 	KeyObjectiveWindow: {check: durationIn(time.Minute, 90*24*time.Hour), unit: "duration", defaultValue: "720h"},
--- a/internal/daemon/node/backend.go
+++ b/internal/daemon/node/backend.go
@@ -60,17 +60,9 @@
 		b.remove()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// Only the response recorder of tests does not support a deadline.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementTimeout))
-		m.ServeHTTP(w, r)
-	})
+	return m
 }
 
-// announcementTimeout bounds the time in which the body of a request of the backend server
-// arrives.
-const announcementTimeout = 5 * time.Second
-
 func (b *backendRegistrar) handleAnnouncement(w http.ResponseWriter, r *http.Request) {
 	const maxBodyBytes = 4096
 	var a Announcement
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -21,7 +21,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -30,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/base/metrics"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/call/entry"
@@ -41,10 +41,12 @@
 	"github.com/cicadaseam/cicadaseam/internal/config/feed"
 	"github.com/cicadaseam/cicadaseam/internal/config/publish"
 	"github.com/cicadaseam/cicadaseam/internal/config/store"
+	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/member/announce"
 	"github.com/cicadaseam/cicadaseam/internal/member/gossip"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/front"
 	"github.com/cicadaseam/cicadaseam/internal/report/burn"
 )
 
@@ -52,10 +54,10 @@
 	// lingerTime is how long a drained node continues to answer "not run" to peers
 	// that do not know yet that it is leaving.
 	lingerTime = 300 * time.Millisecond
-	// readHeaderTimeout bounds the time to read the header of an HTTP request, and
-	// idleTimeout the time that an idle HTTP connection is kept.
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// callBudget and linkBudget bound the calls of callers and the requests of peers in progress, in
+	// bytes. They are apart, so that a crowd of callers does not hold up the configuration.
+	callBudget = 24 << 20
+	linkBudget = 24 << 20
 )
 
 // Node is a node of the mesh. New creates it, and Run serves until its context ends.
@@ -86,7 +88,7 @@
 	progress  progressTracker
 
 	listeners struct{ calls, links, backend, operator net.Listener }
-	servers   []*http.Server
+	servers   []*server
 	wg        sync.WaitGroup
 }
 
@@ -188,7 +190,7 @@
 	}
 	n.timers = timer.New(n.rng(1))
 	n.pool = mux.NewPool(n.network, n.timers, mux.WithPingTimeout(s.PingTimeout), mux.WithHeartbeatInterval(s.HeartbeatInterval))
-	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink))
+	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink), mux.WithBudget(budget.New(linkBudget)))
 	n.store = store.New(s.Locality, store.WithLogger(n.logger))
 	n.gossip = gossip.New(self, n.network, n.pool, n.timers, n.rng(2),
 		gossip.WithProbePeriod(s.ProbePeriod), gossip.WithConfigStatus(n.configStatus, n.observePeer), gossip.WithOnMarks(n.mergeMarks))
@@ -335,6 +337,9 @@
 func (n *Node) shutdown(stop context.CancelFunc) {
 	n.closeListeners()
 	stop()
+	for _, s := range n.servers {
+		s.Close()
+	}
 	n.links.Close()
 	n.target.Close()
 	n.wg.Wait()
@@ -355,9 +360,10 @@
 	n.spawn(func() { n.watchMembers(ctx) })
 	keepAlive := n.timers.Subscribe(ledger.KeepAliveInterval())
 	n.spawn(func() { n.ledger.RunKeepAlive(ctx, keepAlive.C) })
-	n.serve(n.listeners.calls, n.entry)
-	n.serve(n.listeners.backend, n.registrar.handler())
-	n.serve(n.listeners.operator, n.operatorHandler())
+	calls := front.New(front.HTTPHandler(n.entry, n.logger), front.WithLimits(callLimits), front.WithBudget(budget.New(callBudget)))
+	n.serve(n.listeners.calls, calls)
+	n.serve(n.listeners.backend, front.NewControl(n.registrar.handler(), n.logger))
+	n.serve(n.listeners.operator, front.NewControl(n.operatorHandler(), n.logger))
 }
 
 // watchMembers logs each change of the state of a member, and each new member that is not
@@ -390,11 +396,21 @@
 	}()
 }
 
+// server is an HTTP server and its listener.
+type server struct {
+	*front.Server
+	listener net.Listener
+}
+
 // serve starts an HTTP server on a listener.
-func (n *Node) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(n.logger)}
-	n.servers = append(n.servers, s)
-	n.spawn(func() { _ = s.Serve(l) }) // returns http.ErrServerClosed after Shutdown
+func (n *Node) serve(l net.Listener, s *front.Server) {
+	n.servers = append(n.servers, &server{Server: s, listener: l})
+	n.spawn(func() { s.Serve(l) }) // returns when the listener is closed
+}
+
+// callLimits returns the limits of calls. The configuration may set a lower one for the body.
+func callLimits() cicadaseam.Limits {
+	return cicadaseam.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: tree.LargestMaxBody, HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
 }
 
 // drain refuses new calls and waits for those in flight, at most for the drain timeout
@@ -404,15 +420,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
 	defer cancel()
 	n.entry.Drain()
+	for _, s := range n.servers {
+		s.Drain()
+	}
 	n.target.Drain()
 	n.gossip.Leave()
 	drained := n.target.Wait(ctx) && n.entry.Wait(ctx)
 	time.Sleep(lingerTime)
 	drained = n.links.Drain(ctx) && drained
 	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			drained = false
-		}
+		s.StopAccepting(s.listener)
+		drained = s.Shutdown(ctx) && drained
 	}
 	if !drained {
 		return errors.Newf("calls were still in flight after %s", n.settings.DrainTimeout)
