http1: what is no response in the protocol is a failure of its server

What callers saw: an answer whose status was 999, or with a field whose name held a blank or a control byte, passed on as the backend server's; a status of 000 was skipped and the next bytes taken for the answer.

Cause: the parser of the standard library accepts more than the protocol, and what it had parsed was not checked.

Change: the bytes of a head are checked before they are parsed: three digits from 100 to 599, names that are tokens, no control bytes or folded lines, one length, no length beside chunks. The same holds for trailers, for responses of the store, the log and nodes to commands (CheckedTransport, which also wants a length or chunks), and for answers that another node has read.

--- a/internal/call/entry/remote.go
+++ b/internal/call/entry/remote.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/call/target"
+	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 )
@@ -53,6 +54,9 @@
 	if err == nil {
 		var answer cicadaseam.Answer
 		if err = method.Decode(data, &answer); err == nil {
+			err = http1.CheckHeaders(answer.Status, answer.Headers) // a node of an earlier release may pass on more
+		}
+		if err == nil {
 			return &answer
 		}
 	}
@@ -86,7 +90,7 @@
 	switch {
 	case resolution.State == target.ResolutionVoid:
 		return &cicadaseam.Answer{Outcome: cicadaseam.OutcomeNotRun, Reason: reason, RetryAfter: retryAfterUnavailable}
-	case resolution.State == target.ResolutionFinished && resolution.Answer != nil:
+	case resolution.State == target.ResolutionFinished && resolution.Answer != nil && http1.CheckHeaders(resolution.Answer.Status, resolution.Answer.Headers) == nil:
 		return resolution.Answer
 	case resolution.State == target.ResolutionFinished:
 		return &cicadaseam.Answer{Outcome: cicadaseam.OutcomeRan, Reason: cicadaseam.ReasonKeyLost}
--- a/internal/client/connpool/conn.go
+++ b/internal/client/connpool/conn.go
@@ -54,8 +54,11 @@
 	nc     net.Conn
 	raw    syscall.RawConn // nil if the connection gives no access to its socket
 	r      *bufio.Reader
+	source *http1.Source    // of r
 	limit  io.LimitedReader // bounds the head of a response
 	budget *Budget          // shared with the pool
+	// written gets the result of the write of the current request.
+	written chan error
 	// sent is set before the first byte of a request is written.
 	sent        atomic.Bool
 	lastUsed    time.Time
@@ -72,7 +75,8 @@
 		c.raw, _ = sc.SyscallConn() // without it, usable reads from the connection instead
 	}
 	c.limit.R = nc
-	c.r = bufio.NewReader(&c.limit)
+	c.source = http1.NewSource(&c.limit)
+	c.r = bufio.NewReader(c.source)
 	return c
 }
 
@@ -134,34 +138,33 @@
 func (c *Conn) Exchange(ctx context.Context, size int, write func() error, read func() bool) (sent, reusable bool) {
 	c.sent.Store(false)
 	stop := context.AfterFunc(ctx, c.close)
-	written := c.startWrite(size, write)
+	c.startWrite(size, write)
 	complete := read()
-	reusable = stop() && complete && c.r.Buffered() == 0 && succeeded(written)
+	reusable = stop() && complete && c.r.Buffered() == 0 && c.isWritten()
 	if !reusable {
 		c.close() // which ends the write too
-		<-written
+		<-c.written
 	}
 	return c.sent.Load(), reusable
 }
 
-// startWrite writes a request, in another goroutine if its body may not fit the send
-// buffer. The returned channel gets the result.
-func (c *Conn) startWrite(size int, write func() error) chan error {
+// startWrite writes a request, in another goroutine if its body may not fit the send buffer.
+func (c *Conn) startWrite(size int, write func() error) {
 	written := make(chan error, 1)
+	c.written = written
 	if size <= maxInlineBody {
 		written <- write()
-		return written
+		return
 	}
 	go func() { written <- write() }()
-	return written
 }
 
-// succeeded reports whether a write has ended without an error. The result stays in the
-// channel.
-func succeeded(written chan error) bool {
+// isWritten reports whether the write of the request has ended without an error. The result stays in
+// the channel.
+func (c *Conn) isWritten() bool {
 	select {
-	case err := <-written:
-		written <- err
+	case err := <-c.written:
+		c.written <- err
 		return err == nil
 	default:
 		return false
@@ -188,7 +191,7 @@
 // it.
 func (c *Conn) ReadResponse(req *http.Request, maxBody int, wanted func(*Response) bool) (Response, error) {
 	c.limit.N = maxResponseHead
-	resp, err := http1.ReadFinalResponse(c.r, req)
+	resp, err := c.readHead(req)
 	if err != nil && c.limit.N <= 0 {
 		return Response{}, errors.Wrapf(ErrHeadTooLarge, "more than %d bytes", maxResponseHead)
 	}
@@ -196,7 +199,7 @@
 		return Response{}, errors.Wrap(err, "read the response head")
 	}
 	c.limit.N = math.MaxInt64
-	r := Response{Status: resp.StatusCode, Header: resp.Header, Unframed: isUnframed(resp)}
+	r := Response{Status: resp.StatusCode, Header: resp.Header, Unframed: http1.IsUnframed(resp)}
 	r.Close = resp.Close || r.Unframed
 	if !wanted(&r) {
 		return r, discardBody(resp.Body, maxBody)
@@ -206,6 +209,9 @@
 		length = 0
 	}
 	r.Body, err = (&bodyReader{budget: c.budget}).read(resp.Body, length, maxBody)
+	if err == nil {
+		err = http1.CheckTrailer(resp)
+	}
 	if r.Unframed {
 		r.BodyErr = err
 		return r, nil
@@ -213,9 +219,16 @@
 	return r, err
 }
 
-// isUnframed reports whether the body of a response has neither a length nor chunks.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+// readHead reads the head of the final response. The read buffer grows with a head that does not fit;
+// the limit of the connection bounds it.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http1.ReadFinalResponse(c.r, req)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return resp, err
+		}
+		c.r = c.source.Resize(c.r, 2*c.r.Size())
+	}
 }
 
 // usable reports whether an idle connection is open and has no data to read.
--- a/internal/client/http1/http1.go
+++ b/internal/client/http1/http1.go
@@ -19,10 +19,18 @@
 // maxInterim bounds the interim (1xx) responses before the final one.
 const maxInterim = 8
 
-// ReadFinalResponse reads the head of the final response and skips interim ones. The body
-// is left to be read.
+// ReadFinalResponse reads the head of the final response and skips interim ones. The body is left to
+// be read. The error is bufio.ErrBufferFull if a head does not fit into the buffer of r, from which
+// nothing of it is read then, and a *HeadError if it is no head of a response.
 func ReadFinalResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for range maxInterim {
+		head, err := PeekHead(r)
+		if err != nil {
+			return nil, err
+		}
+		if err := checkHead(head); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, err
--- a/internal/client/logclient/logclient.go
+++ b/internal/client/logclient/logclient.go
@@ -23,6 +23,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 )
 
 // AppendResponse is the response to an append.
@@ -80,7 +81,7 @@
 		ResponseHeaderTimeout:  headerTimeout,
 		MaxResponseHeaderBytes: maxResponseHead,
 	}
-	client := &http.Client{Transport: boundedTransport{transport}, Timeout: callTimeout}
+	client := &http.Client{Transport: boundedTransport{http1.CheckedTransport(transport)}, Timeout: callTimeout}
 	return &Client{base: sling.New().Client(client).Base(url)}
 }
 
--- a/internal/command/cli/call.go
+++ b/internal/command/cli/call.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cicadaseam/cicadaseam/internal/call/entry"
+	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 )
 
 type callCommand struct {
@@ -48,7 +49,7 @@
 	if _, err := c.newRequest(ctx, body); err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: c.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: c.Parallel}}
+	client := &http.Client{Timeout: c.Timeout, Transport: http1.CheckedTransport(&http.Transport{MaxIdleConnsPerHost: c.Parallel})}
 	if c.Count == 1 {
 		return c.callOnce(ctx, client, body, s.out)
 	}
--- a/internal/daemon/api/api.go
+++ b/internal/daemon/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
 	"github.com/cicadaseam/cicadaseam/internal/report/burn"
 )
@@ -95,7 +96,7 @@
 
 // New returns a client of the node at a URL. The token is empty if the node has none set.
 func New(url, token string) *Client {
-	s := sling.New().Client(&http.Client{}).Base(url)
+	s := sling.New().Client(&http.Client{Transport: http1.CheckedTransport(http.DefaultTransport)}).Base(url)
 	if token != "" {
 		s = s.Set("Authorization", "Bearer "+token)
 	}
--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/logging"
+	"github.com/cicadaseam/cicadaseam/internal/client/http1"
 	"github.com/cicadaseam/cicadaseam/internal/link/method"
 	"github.com/cicadaseam/cicadaseam/internal/link/mux"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
@@ -36,7 +37,11 @@
 		return r.lostAnswer(ctx, addr, call, err)
 	}
 	answer := &cicadaseam.MeshAnswer{}
-	if err := method.Decode(data, answer); err != nil {
+	err = method.Decode(data, answer)
+	if err == nil {
+		err = http1.CheckHeaders(answer.Status, answer.Headers) // a node of an earlier release may pass on more
+	}
+	if err != nil {
 		r.node.logger.Error("answer not decoded", zap.String("request", call.ID), zap.String("peer", addr), logging.Error(err))
 		return &cicadaseam.MeshAnswer{Reason: cicadaseam.ReasonLinkLost, ReachedBackend: true}
 	}
