connpool: a response without a length is whole only if its request was written

What callers saw: a backend server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection; the part is passed on as the whole answer.

Cause: an error of a connection is told once. If the write of the upload gets it, the read sees the end of the stream, which ends such a body.

Change: both halves of the exchange have to agree. The end of the stream ends the body only once the request was written without an error, for which the response waits 1 s at most.

A server that answers early, closes its half and reads on is still served (TestEarlyResponseWithoutALengthIsComplete).

--- a/internal/client/connpool/conn.go
+++ b/internal/client/connpool/conn.go
@@ -27,6 +27,9 @@
 	// maxResponseHead bounds the head of a response with the interim responses before it, in
 	// bytes. A process may read as many heads at once as its backend server has slots.
 	maxResponseHead = 64 << 10
+	// unframedWriteTimeout is how long a request may still be written once the body of its response
+	// has ended with the connection.
+	unframedWriteTimeout = time.Second
 	// maxRequests bounds the requests that one connection carries, and thereby the memory
 	// for their IDs.
 	maxRequests = 1024
@@ -171,6 +174,20 @@
 	}
 }
 
+// awaitWritten waits until the request is written. An error of a connection is told once: if the write
+// got it, the end of what was read looks like the end of the body.
+func (c *Conn) awaitWritten() error {
+	timeout := time.NewTimer(unframedWriteTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-c.written:
+		c.written <- err
+		return errors.Wrap(err, "write the request of a response without a length")
+	case <-timeout.C:
+		return ErrUnframed
+	}
+}
+
 // Response is a complete HTTP response.
 type Response struct {
 	Status int
@@ -213,7 +230,9 @@
 		err = http1.CheckTrailer(resp)
 	}
 	if r.Unframed {
-		r.BodyErr = err
+		if r.BodyErr = err; err == nil {
+			r.BodyErr = c.awaitWritten()
+		}
 		return r, nil
 	}
 	return r, err
--- a/internal/client/connpool/exchange_test.go
+++ b/internal/client/connpool/reset_test.go
@@ -41,6 +41,35 @@
 	return resp, readErr
 }
 
+const unframedResponse = "HTTP/1.1 200 OK\r\n\r\npart of the body"
+
+// Guards against a response without a length whose connection is reset while its request is written:
+// the write gets the error, and the read sees the end of the body.
+func TestResetWhileTheRequestIsWrittenIsNoEndOfTheBody(t *testing.T) {
+	for i := range 20 {
+		resp, err := exchangeLong(t, 32<<20, func(nc *net.TCPConn) {
+			_, _ = io.ReadFull(nc, make([]byte, 1<<10))
+			_, _ = io.WriteString(nc, unframedResponse)
+			time.Sleep(20 * time.Millisecond) // the bytes arrive before the reset
+			_ = nc.SetLinger(0)
+		})
+		require.True(t, err != nil || resp.BodyErr != nil, "exchange %d: %q is taken for the whole body", i, resp.Body)
+	}
+}
+
+// A server may answer without a length before it has read the request, and read on.
+func TestEarlyResponseWithoutALengthIsComplete(t *testing.T) {
+	const size = 4 << 20
+	resp, err := exchangeLong(t, size, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, unframedResponse)
+		_ = nc.CloseWrite()
+		_, _ = io.Copy(io.Discard, nc)
+	})
+	require.NoError(t, err)
+	require.NoError(t, resp.BodyErr)
+	require.Equal(t, "part of the body", string(resp.Body))
+}
+
 // Guards against heads that do not fit into the read buffer.
 func TestLargeHeadIsRead(t *testing.T) {
 	const field = "X-Name: " + "0123456789abcdef0123456789abcdef0123456789abcdef" + "\r\n"
