front, mux: answers count in a budget until they are written to the caller

What was seen: 300 clients at two nodes that ask for 8 MiB each and read nothing took 284 MB of 184.

Cause: the budget for responses was returned when a response was read, and answers of other nodes were in no budget; both stay in memory until the caller has read them.

Change: one budget of 48 MiB (64 before) covers a response while it is read from the server, while it arrives from another node, and until it is written to the caller. Responses above 64 KiB may use three quarters of it, those above 1 MiB half, so that room remains for ordinary ones.

--- a/internal/call/runner/runner.go
+++ b/internal/call/runner/runner.go
@@ -72,12 +72,16 @@
 )
 
 // maxBodiesInProgress bounds the memory for all response bodies that are being read, in bytes.
-const maxBodiesInProgress = 64 << 20
+const maxBodiesInProgress = 48 << 20
 
 // bodyBudget is shared by all runners of the process: one for each announcement of its backend
 // server.
 var bodyBudget = connpool.NewBudget(maxBodiesInProgress)
 
+// Responses returns the budget for the response bodies of the process, which other parts that hold
+// them share.
+func Responses() *connpool.Budget { return bodyBudget }
+
 // ErrStrayResponse is returned when only responses to other requests arrive.
 var ErrStrayResponse = errors.New("response with the ID of another request")
 
--- a/internal/client/connpool/body.go
+++ b/internal/client/connpool/body.go
@@ -30,7 +30,7 @@
 	if length > int64(maxBody) {
 		return nil, errors.Wrapf(ErrResponseTooLarge, "%d bytes, the limit is %d", length, maxBody)
 	}
-	defer func() { b.budget.release(b.reserved) }()
+	defer func() { b.budget.Release(b.reserved) }()
 	end := int64(maxBody) + 1 // one byte over the limit shows that the body is too large
 	first := int64(firstBuffer)
 	if length >= 0 {
@@ -71,7 +71,7 @@
 // grow adds a buffer, so that all buffers together have size bytes.
 func (b *bodyReader) grow(size int64) error {
 	added := size - b.reserved
-	if !b.budget.reserve(added, size) {
+	if !b.budget.Reserve(added, size) {
 		return errors.Wrapf(ErrNoMemory, "for a body of %d bytes", size)
 	}
 	b.reserved = size
--- a/internal/client/connpool/connpool_test.go
+++ b/internal/client/connpool/connpool_test.go
@@ -148,7 +148,7 @@
 	require.NoError(t, err, "alone, a body may take more than the budget")
 	require.Len(t, body, 2*limit)
 	require.Zero(t, budget.Used())
-	require.True(t, budget.reserve(limit/2, limit/2), "of another body")
+	require.True(t, budget.Reserve(limit/2, limit/2), "of another body")
 	_, err = (&bodyReader{budget: budget}).read(io.LimitReader(zeros{}, 2<<20), 2<<20, 32<<20)
 	require.ErrorIs(t, err, ErrNoMemory)
 	body, err = (&bodyReader{budget: budget}).read(io.LimitReader(zeros{}, 540_000), -1, 32<<20)
@@ -262,3 +262,19 @@
 	require.Positive(t, option(syscall.IPPROTO_TCP, tcpUserTimeout))
 	require.LessOrEqual(t, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)+option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)*option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT), 3, "seconds")
 }
+
+// Guards against large answers that nobody reads and that leave no room for ordinary ones.
+func TestRoomRemainsForOrdinaryResponses(t *testing.T) {
+	budget := NewBudget(64 << 20)
+	fill := func(size int64) (n int) {
+		for budget.Reserve(size, size) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 4, fill(8<<20))
+	require.Equal(t, 32, fill(512<<10))
+	require.GreaterOrEqual(t, fill(ordinaryBody), 256)
+	budget.Hold(1 << 20)
+	require.Zero(t, fill(1), "held bytes count")
+}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/call/entry"
 	"github.com/cicadaseam/cicadaseam/internal/call/ledger"
+	"github.com/cicadaseam/cicadaseam/internal/call/runner"
 	"github.com/cicadaseam/cicadaseam/internal/call/target"
 	"github.com/cicadaseam/cicadaseam/internal/client/connpool"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
@@ -360,7 +361,7 @@
 	n.spawn(func() { n.watchMembers(ctx) })
 	keepAlive := n.timers.Subscribe(ledger.KeepAliveInterval())
 	n.spawn(func() { n.ledger.RunKeepAlive(ctx, keepAlive.C) })
-	calls := front.New(front.HTTPHandler(n.entry, n.logger), front.WithLimits(callLimits), front.WithBudget(budget.New(callBudget)))
+	calls := front.New(front.HTTPHandler(n.entry, n.logger), front.WithLimits(callLimits), front.WithBudget(budget.New(callBudget)), front.WithReplyBudget(runner.Responses()))
 	n.serve(n.listeners.calls, calls)
 	n.serve(n.listeners.backend, front.NewControl(n.registrar.handler(), n.logger))
 	n.serve(n.listeners.operator, front.NewControl(n.operatorHandler(), n.logger))
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -54,6 +54,7 @@
 	"github.com/cicadaseam/cicadaseam/internal/mesh/revision"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/target"
 	"github.com/cicadaseam/cicadaseam/internal/mesh/transit"
+	"github.com/cicadaseam/cicadaseam/internal/mesh/upstream"
 )
 
 const (
@@ -168,7 +169,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.meter.losses = losses.NewRecorder(s.Zone)
 	n.timers = timer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait))
+	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait), mux.WithAnswerBudget(upstream.Responses()))
 	n.bulkPool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(bulkPingTimeout), mux.WithHeartbeatInterval(bulkPingTimeout/4))
 	n.requests = budget.New(front.DefaultBudget)
 	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest), mux.WithBudget(n.requests))
@@ -186,7 +187,7 @@
 	n.dispatch = dispatch.New(s.peerAddr(), s.Zone, s.Service, n.syncer, n.fleet, n.target, remoteTargets{n}, rng,
 		dispatch.WithLogger(n.logger), dispatch.WithHeaders(n.platform.Headers), dispatch.WithObserver(n.meter), dispatch.WithGuard(n.guard),
 		dispatch.WithRetryBudget(dispatch.NewRetryBudget(now, retryBudget(s))), dispatch.WithKeyProofs(keyProofs{n}), dispatch.WithQuota(n.quota), dispatch.WithRollouts(n.rollouts.tracker))
-	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed), front.WithBudget(n.requests), front.WithMaxConns(s.MaxConns))
+	n.front = front.New(n.dispatch.Serve, front.WithLimits(n.limits), front.WithOnDelayed(n.meter.losses.RecordDelayed), front.WithBudget(n.requests), front.WithReplyBudget(upstream.Responses()), front.WithMaxConns(s.MaxConns))
 }
 
 // notifyPeers sends a heartbeat to the other nodes without waiting for the heartbeat period.
--- a/internal/link/mux/conn.go
+++ b/internal/link/mux/conn.go
@@ -24,6 +24,7 @@
 	state  atomic.Int32
 	answer frame.Assembler
 	done   chan result
+	held   atomic.Int64 // bytes of the budget for answers
 }
 
 type result struct {
@@ -44,6 +45,7 @@
 	netConn   net.Conn
 	sendQueue *ring.Ring
 	counters  *Counters
+	answers   AnswerBudget // nil if answers are not bounded
 
 	mu      sync.Mutex
 	pending map[uint64]*pendingRequest
@@ -61,12 +63,13 @@
 	pingSentAt  atomic.Int64 // Unix nanoseconds; 0 if no ping was sent since the last received frame
 }
 
-func newConn(peer string, nc net.Conn, counters *Counters) *conn {
+func newConn(peer string, nc net.Conn, counters *Counters, answers AnswerBudget) *conn {
 	c := &conn{
 		peer:      peer,
 		netConn:   nc,
 		sendQueue: ring.New(sendQueueMessages, ring.Reject),
 		counters:  counters,
+		answers:   answers,
 		pending:   map[uint64]*pendingRequest{},
 	}
 	c.w = frame.NewWriter(countingWriter{nc, &counters.BytesOut})
@@ -87,6 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer c.release(p)
 	defer c.forget(id)
 	if idle > pingIfIdleFor {
 		c.ping(time.Now())
@@ -262,6 +266,12 @@
 		c.counters.DroppedFrames.Add(1)
 		return
 	}
+	if f.Seq == 0 && !f.End && !c.reserve(f.ID, p, int64(f.Total)) {
+		c.forget(f.ID)
+		c.enqueue(outgoingMessage{frames: []*frame.Frame{{Kind: frame.Cancel, ID: f.ID, End: true}}})
+		p.finish(result{err: &LinkError{Peer: c.peer, Sent: true, Reason: "answers in progress take too much memory"}})
+		return
+	}
 	complete, err := p.answer.Add(f)
 	switch {
 	case err != nil:
@@ -273,6 +283,30 @@
 	}
 }
 
+// reserve reserves memory for an answer of a size that arrives in several frames.
+func (c *conn) reserve(id uint64, p *pendingRequest, size int64) bool {
+	if c.answers == nil {
+		return true
+	}
+	if !c.answers.Reserve(size, size) {
+		return false
+	}
+	p.held.Add(size)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending[id] != p { // it has ended meanwhile, and may have released what it had before
+		c.release(p)
+	}
+	return true
+}
+
+// release returns what is reserved for the answer to a request that has ended.
+func (c *conn) release(p *pendingRequest) {
+	if held := p.held.Swap(0); held > 0 {
+		c.answers.Release(held)
+	}
+}
+
 func (c *conn) resultOf(kind frame.Kind, p *pendingRequest) result {
 	switch kind {
 	case frame.Failure:
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -51,6 +51,7 @@
 // Pool holds one connection to each peer. It is safe for concurrent use.
 type Pool struct {
 	network           cicadaseam.Network
+	answers           AnswerBudget // nil if answers are not bounded
 	timers            *timer.Service
 	heartbeatInterval time.Duration
 	pingTimeout       time.Duration
@@ -87,6 +88,17 @@
 // data after which a ping is sent on a connection with pending requests.
 func WithHeartbeatInterval(d time.Duration) Option { return func(p *Pool) { p.heartbeatInterval = d } }
 
+// AnswerBudget bounds the memory of answers while they arrive. *connpool.Budget implements it.
+type AnswerBudget interface {
+	// Reserve reserves n more bytes for an answer of a size, and reports whether there is room.
+	Reserve(n, size int64) bool
+	Release(n int64)
+}
+
+// WithAnswerBudget sets the budget for answers that arrive in several frames, which other parts of the
+// process may share. A request whose answer does not fit it ends with an error.
+func WithAnswerBudget(b AnswerBudget) Option { return func(p *Pool) { p.answers = b } }
+
 // WithDialTimeout bounds the time that a dial may take.
 func WithDialTimeout(d time.Duration) Option { return func(p *Pool) { p.dialTimeout = d } }
 
@@ -189,7 +201,7 @@
 	case p.dialCtx.Err() != nil:
 		_ = nc.Close() // the dial finished after the pool had closed its connections
 	default:
-		pr.conn = newConn(addr, nc, &p.counters)
+		pr.conn = newConn(addr, nc, &p.counters, p.answers)
 	}
 	close(done)
 }
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -71,6 +71,7 @@
 	// closeAfter is set when the connection closes after this reply.
 	closeAfter bool
 	readyAt    time.Time // valid once done is closed
+	held       int64     // bytes of the budget for replies; valid once done is closed
 	done       chan struct{}
 }
 
@@ -296,6 +297,7 @@
 	defer stop()
 	p.reply = c.server.handler(ctx, r)
 	p.readyAt = time.Now()
+	c.server.hold(p)
 }
 
 // newRequest returns a request in the form that the handler takes.
@@ -359,6 +361,7 @@
 			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // the next write reports a failure
 			broken = writeReply(w, p, last) != nil
 		}
+		c.server.releaseReply(p)
 		if broken {
 			c.cancel()
 			c.refuseRequests()
--- a/internal/mesh/front/write.go
+++ b/internal/mesh/front/write.go
@@ -34,3 +34,23 @@
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
+
+// uncountedReply is the size in bytes up to which a reply is not counted: the bound on connections
+// covers it.
+const uncountedReply = 8 << 10
+
+// hold counts a reply until it is written.
+func (s *Server) hold(p *pendingReply) {
+	if size := int64(len(p.reply.Body)); s.replies != nil && size > uncountedReply {
+		s.replies.Hold(size)
+		p.held = size
+	}
+}
+
+// releaseReply ends the time in which a reply counts, and drops its body.
+func (s *Server) releaseReply(p *pendingReply) {
+	if p.held > 0 {
+		s.replies.Release(p.held)
+	}
+	p.reply = nil
+}
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -60,12 +60,16 @@
 	maxResponseBody = 16 << 20
 	// maxBodiesInProgress bounds the memory for all bodies that are being read, in bytes: about a
 	// third of the smallest process, which has 184 MB.
-	maxBodiesInProgress = 64 << 20
+	maxBodiesInProgress = 48 << 20
 )
 
 // bodyBudget is shared by all clients of the process: one for each instance of its backend server.
 var bodyBudget = connpool.NewBudget(maxBodiesInProgress)
 
+// Responses returns the budget for the response bodies of the process, which other parts that hold
+// them share.
+func Responses() *connpool.Budget { return bodyBudget }
+
 // ErrTooLate is the error in Result.Err for a request that could not be sent in time.
 var ErrTooLate = errors.New("no connection before the backend server may exit")
 
