front: receive buffers are bounded behind deep pipelines only; crowds of all kinds

Cause: a bound on all receive buffers slows down one large upload over a long round trip (4 to 8 MB a second at 16 ms), and one that is set on an open connection stalls it on loopback: 9 MiB took over 10 s. The budget bounds how many connections can have 32 requests in progress, and only behind those is nothing read.

Change: a connection with 8 requests in progress gets a receive buffer of 64 KiB; the others keep that of the machine. A caller that expects "100 Continue" is refused before it is asked for its body. Closing a server for control does not wait for its handlers.

--- a/internal/client/netio/netio.go
+++ b/internal/client/netio/netio.go
@@ -36,8 +36,7 @@
 
 // Listen implements cicadaseam.Network.
 func (n *Network) Listen(addr string) (net.Listener, error) {
-	config := net.ListenConfig{Control: BoundReadBuffer}
-	return config.Listen(context.Background(), "tcp", addr)
+	return net.Listen("tcp", addr)
 }
 
 // ListenPacket implements cicadaseam.Network.
--- a/internal/daemon/sidecar/listen.go
+++ b/internal/daemon/sidecar/listen.go
@@ -42,7 +42,7 @@
 }
 
 func listenWithRetry(addr string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: netio.KeepAliveConfig(), Control: netio.BoundReadBuffer}
+	config := net.ListenConfig{KeepAliveConfig: netio.KeepAliveConfig()}
 	var l net.Listener
 	err := retryWhileInUse(func() (err error) {
 		l, err = config.Listen(context.Background(), "tcp", addr)
--- a/internal/mesh/front/body.go
+++ b/internal/mesh/front/body.go
@@ -73,7 +73,6 @@
 	case length > int64(limit):
 		return errBodyTooLarge
 	}
-	c.sendContinue(in.request)
 	c.setReadDeadline(time.Now().Add(c.server.bodyTimeout))
 	var err error
 	if length > 0 {
@@ -98,6 +97,7 @@
 	if err := c.reserve(in, length); err != nil {
 		return err
 	}
+	c.sendContinue(in.request)
 	in.body = make([]byte, length)
 	return c.fill(in, in.body)
 }
@@ -130,6 +130,9 @@
 		if err := c.reserve(in, int64(reserved+next)); err != nil {
 			return err
 		}
+		if reserved == 0 {
+			c.sendContinue(in.request)
+		}
 		reserved += next
 		buf := make([]byte, next)
 		n, err := c.fillChunk(in, buf)
--- a/internal/mesh/front/body_test.go
+++ b/internal/mesh/front/body_test.go
@@ -90,3 +90,17 @@
 	_ = broken.Close()
 	require.Eventually(t, func() bool { return b.Used() == 0 && s.InFlight() == 0 }, time.Second, time.Millisecond, "what is not read is released")
 }
+
+// Guards against a caller that is asked for a body for which there is no memory.
+func TestBodyThatDoesNotFitIsNotAskedFor(t *testing.T) {
+	for _, length := range []string{"Content-Length: 5000", "Transfer-Encoding: chunked"} {
+		b := budget.New(8 << 10)
+		var taken budget.Reservation
+		require.True(t, b.Resize(&taken, 8<<10, time.Now()))
+		_, nc, r := startServer(t, echo, cicadaseam.Limits{}, WithBudget(b))
+		_, _ = io.WriteString(nc, "POST /a HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\n"+length+"\r\n\r\n")
+		line, err := r.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/1.1 503 Service Unavailable\r\n", line)
+	}
+}
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -258,6 +258,9 @@
 		return false
 	}
 	c.inFlight++
+	if tcp, ok := c.nc.(*net.TCPConn); ok && c.inFlight == deepPipeline {
+		_ = tcp.SetReadBuffer(deepReadBuffer) // the next read reports a failure
+	}
 	return true
 }
 
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -70,10 +70,11 @@
 	DefaultBudget = 40 << 20
 	// DefaultMaxConns is the number of connections of a server without WithMaxConns.
 	DefaultMaxConns = 1024
-	// crowdedConns is the number of connections beyond which further ones get receive buffers of
-	// crowdedReadBuffer bytes, as what they hold unread counts as memory of the process.
-	crowdedConns      = 256
-	crowdedReadBuffer = 16 << 10
+	// A connection on which deepPipeline requests are in progress gets a receive buffer of
+	// deepReadBuffer bytes: what it holds unread counts as memory of the process, and nothing is read
+	// while maxPipelined replies are pending.
+	deepPipeline   = 8
+	deepReadBuffer = 64 << 10
 	// maxEvicting bounds the evicted connections whose callers get a reply.
 	maxEvicting = 128
 	// noMemoryRetryAfter is when the caller of a request that did not fit the budget is to come back.
@@ -219,9 +220,6 @@
 		_ = nc.Close() // nothing was read from it
 		return
 	}
-	if tcp, ok := nc.(*net.TCPConn); ok && len(s.conns) >= crowdedConns {
-		_ = tcp.SetReadBuffer(crowdedReadBuffer) // the next read reports a failure
-	}
 	c := newConn(s, nc)
 	s.conns[c] = true
 	c.closeIfIdle = s.shuttingDown
@@ -239,16 +237,15 @@
 	}
 }
 
-// Close closes all connections at once, and waits until their goroutines have ended.
+// Close closes all connections at once. It does not wait for handlers.
 func (s *Server) Close() {
 	s.CancelRequests()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.cancel()
 		_ = c.nc.Close() // it is given up
 	}
-	s.mu.Unlock()
-	s.wg.Wait()
 }
 
 // Evictions returns how many connections were closed for others.
