--- a/internal/mesh/front/http_test.go
+++ b/internal/mesh/front/http_test.go
@@ -15,7 +15,7 @@
 // panic is lost.
 func TestHTTPHandlerServesHandlersOfTheStandardLibrary(t *testing.T) {
 	m := http.NewServeMux()
-	m.HandleFunc("PUT /instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+	m.HandleFunc("PUT /things/{id}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		require.NoError(t, err)
 		w.Header().Set("X-Id", r.PathValue("id")+r.URL.Query().Get("q")+r.Host)
@@ -24,7 +24,7 @@
 	})
 	m.HandleFunc("GET /panic", func(http.ResponseWriter, *http.Request) { panic("on purpose") })
 	_, nc, r := startServer(t, HTTPHandler(m, zap.NewNop()), cicadaseam.Limits{})
-	_, _ = io.WriteString(nc, "PUT /instances/i-1?q=2 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody"+get("/panic")+get("/none"))
+	_, _ = io.WriteString(nc, "PUT /things/i-1?q=2 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody"+get("/panic")+get("/none"))
 	resp, body := readResponse(t, r)
 	require.Equal(t, http.StatusAccepted, resp.StatusCode)
 	require.Equal(t, "i-12a.example", resp.Header.Get("X-Id"))
