--- a/internal/link/mux/evict_test.go
+++ b/internal/link/mux/evict_test.go
@@ -90,15 +90,23 @@
 	requireClosed(t, second, "the one that was used least recently")
 }
 
+// beginRequest sends the first frame of a request of 500 KiB, waits until it is in the budget, and
+// returns the connection and the other frames.
+func beginRequest(t *testing.T, addr string, b *budget.Budget) (net.Conn, *frame.Writer, []*frame.Frame) {
+	const size = 500 << 10
+	nc, w := dialPeer(t, addr)
+	frames := frame.Split(frame.Request, 1, 1, make([]byte, size))
+	require.NoError(t, w.Write(frames[0]))
+	require.NoError(t, w.Flush())
+	require.Eventually(t, func() bool { return b.Used() == size }, time.Second, time.Millisecond)
+	return nc, w, frames[1:]
+}
+
 // Guards against requests whose frames stop to arrive and that hold the budget of all.
 func TestStalledRequestOfAPeerGivesWay(t *testing.T) {
 	b := budget.New(1 << 20)
 	_, addr := startEchoServer(t, WithBudget(b))
-	stalled, w := dialPeer(t, addr)
-	frames := frame.Split(frame.Request, 1, 1, make([]byte, 500<<10))
-	require.NoError(t, w.Write(frames[0]))
-	require.NoError(t, w.Flush())
-	require.Eventually(t, func() bool { return b.Used() == 500<<10 }, time.Second, time.Millisecond)
+	stalled, _, _ := beginRequest(t, addr, b)
 	var r budget.Reservation
 	require.True(t, b.Resize(&r, 500<<10, time.Now().Add(time.Minute)))
 	requireClosed(t, stalled, "no frame of it may ever arrive")
@@ -108,14 +116,10 @@
 func TestRevokedRequestOfAPeerIsRefused(t *testing.T) {
 	b := budget.New(1 << 20)
 	_, addr := startEchoServer(t, WithBudget(b))
-	nc, w := dialPeer(t, addr)
-	frames := frame.Split(frame.Request, 1, 1, make([]byte, 500<<10))
-	require.NoError(t, w.Write(frames[0]))
-	require.NoError(t, w.Flush())
-	require.Eventually(t, func() bool { return b.Used() == 500<<10 }, time.Second, time.Millisecond)
+	nc, w, frames := beginRequest(t, addr, b)
 	var r budget.Reservation
 	require.True(t, b.Resize(&r, 400<<10, time.Now()))
-	for _, f := range frames[1:] {
+	for _, f := range frames {
 		require.NoError(t, w.Write(f))
 	}
 	require.NoError(t, w.Flush())
--- a/internal/mesh/front/body.go
+++ b/internal/mesh/front/body.go
@@ -2,67 +2,11 @@
 
 import (
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 )
 
-// received is a request that has been read, with its part of the budget.
-type received struct {
-	request  *http.Request
-	body     []byte
-	headSize int64               // bytes that its head takes, as far as they are reserved
-	reserved *budget.Reservation // nil if it has none
-}
-
-// reserve changes the part of the budget that a request has to what its head takes and bodySize bytes.
-func (c *conn) reserve(in *received, bodySize int64) error {
-	size := in.headSize + bodySize
-	if in.reserved == nil {
-		if size == 0 {
-			return nil
-		}
-		in.reserved = &budget.Reservation{}
-	}
-	if !c.server.budget.Resize(in.reserved, size, time.Now()) {
-		return errNoMemory
-	}
-	return nil
-}
-
-// arriving lets the request be interrupted until it has arrived.
-func (c *conn) arriving(in *received) {
-	if in.reserved == nil {
-		in.reserved = &budget.Reservation{}
-	}
-	c.server.budget.Arriving(in.reserved, time.Now(), func(bool) { c.interrupt() })
-}
-
-// arrived ends the time in which the request may be interrupted.
-func (c *conn) arrived(in *received) error {
-	if in.reserved != nil && !c.server.budget.Arrived(in.reserved) || c.isInterrupted() {
-		return errNoMemory
-	}
-	return nil
-}
-
-// release returns the part of the budget that a request has.
-func (c *conn) release(in *received) {
-	if in.reserved != nil {
-		c.server.budget.Release(in.reserved)
-	}
-}
-
-// progress records that n bytes of the body have arrived.
-func (c *conn) progress(in *received, n int) {
-	if in.reserved != nil {
-		c.server.budget.Progress(in.reserved, n, time.Now())
-	}
-}
-
 // readBody reads the body of a request. limit is in bytes. The caller releases the request, also after
 // an error.
 func (c *conn) readBody(in *received, limit int) error {
--- a/internal/mesh/front/head.go
+++ b/internal/mesh/front/head.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -108,20 +107,3 @@
 	}
 	return err
 }
-
-// setReadDeadline sets the deadline of the next reads, unless the request was interrupted.
-func (c *conn) setReadDeadline(t time.Time) {
-	_ = c.nc.SetReadDeadline(t) // the next read reports a failure
-	if c.isInterrupted() {
-		_ = c.nc.SetReadDeadline(expiredDeadline) // as above
-	}
-}
-
-// interrupt makes the request that is arriving fail, so that its memory is free for others. The caller
-// is told that it did not run.
-func (c *conn) interrupt() {
-	c.interrupted.Store(true)
-	_ = c.nc.SetReadDeadline(expiredDeadline) // wakes readLoop
-}
-
-func (c *conn) isInterrupted() bool { return c.interrupted.Load() }
