--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -15,9 +15,12 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Client is one client of a crowd. It sends what its test says, and then keeps its connection open.
@@ -32,6 +35,23 @@
 	return err == nil
 }
 
+// AwaitEnd reads until the process closes the connection or ended is closed.
+func (c *Client) AwaitEnd(ended <-chan struct{}) {
+	const pollInterval = 100 * time.Millisecond
+	buf := make([]byte, 4<<10)
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		_ = c.nc.SetReadDeadline(time.Now().Add(pollInterval)) // the next read reports a failure
+		if _, err := c.nc.Read(buf); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+}
+
 // SmallestFields returns header lines of the smallest fields, with different names. Together they take
 // a little less than a size in bytes.
 func SmallestFields(size int) string {
