--- a/internal/mesh/front/body_test.go
+++ b/internal/mesh/front/body_test.go
@@ -1,11 +1,9 @@
 package front
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -40,13 +38,7 @@
 		}
 		return &dispatch.Reply{Status: 200, Body: []byte(fmt.Sprint(len(req.Body)))}
 	}, cicadaseam.Limits{}, WithBudget(b))
-	dial := func() (net.Conn, *bufio.Reader) {
-		c, err := net.Dial("tcp", nc.RemoteAddr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = c.Close() })
-		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-		return c, bufio.NewReader(c)
-	}
+	dial := dialer(t, nc)
 	_, _ = io.WriteString(nc, post(large)+strings.Repeat("x", large))
 	<-started
 	require.Equal(t, int64(large), b.Used())
