slot, dispatch: a node that stops starts only what ends with time to spare

What callers saw: a request that came late in a planned stop was passed on and, if it took longer than requests usually do, answered 504 while it ran: it may not be repeated, and its caller does not know that. Cause: 1.5 expected run times had to be left until the node cancels what still runs. That suits the exit of a backend server, which usually serves for longer; at a node's end nothing does, and a part of all runs takes twice the mean. Change: three expected run times until the node's end, in the queue and for the choice of a target. The two endings of a queue are kept apart.

--- a/internal/mesh/dispatch/end.go
+++ b/internal/mesh/dispatch/end.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadaseam/cicadaseam/internal/mesh/slot"
+)
 
 // EndBy is called when this node cancels at a time the requests that are in flight then. From now on,
 // a request is sent only to a target from which its answer is expected before.
@@ -23,11 +27,7 @@
 	return req
 }
 
-// cutOffMargin is the multiple of its expected run time that a request must have left where it would
-// otherwise be canceled while it runs.
-const cutOffMargin = 1.5
-
 // endsWithin reports whether the answer is expected within a time, after which the request is canceled.
 func (s *Selection) endsWithin(d time.Duration) bool {
-	return time.Duration(cutOffMargin*float64(s.RunTime))+s.QueueTime+s.TransitTime <= d
+	return time.Duration(slot.StopMargin*float64(s.RunTime))+s.QueueTime+s.TransitTime <= d
 }
--- a/internal/mesh/slot/end_test.go
+++ b/internal/mesh/slot/end_test.go
@@ -68,3 +68,22 @@
 		}
 	})
 }
+
+// Guards against a request that starts when the node is about to cancel it, and against an ending that
+// replaces one that leaves less time: the node stops after its backend server may exit.
+func TestRequestsNeedMoreTimeBeforeANodeStops(t *testing.T) {
+	for _, c := range []struct {
+		exit, stop time.Duration
+		want       Decision
+	}{
+		{time.Hour, 290 * time.Millisecond, Refused},
+		{time.Hour, 310 * time.Millisecond, Started},
+		{140 * time.Millisecond, time.Hour, Refused},
+		{160 * time.Millisecond, time.Hour, Started},
+	} {
+		q := New(1)
+		q.EndBy(epoch, epoch.Add(c.exit))
+		q.StopBy(epoch, epoch.Add(c.stop))
+		admit(t, q, newRequest(0, time.Second, time.Second), c.want)
+	}
+}
--- a/internal/mesh/slot/slot.go
+++ b/internal/mesh/slot/slot.go
@@ -44,7 +44,8 @@
 //	q.Release(now, took) // starts queued requests through their Admitted channels
 //	q.Settle(now, request) // corrects the slots that a class is known to use
 //	q.Advance(now)       // periodically, while requests wait
-//	q.EndBy(now, end)    // when the backend server or the node is to exit
+//	q.EndBy(now, end)    // when the backend server is to exit
+//	q.StopBy(now, end)   // when the node is to exit
 package slot
 
 import (
@@ -121,8 +122,8 @@
 	nested      reservation
 	// outerRunTime is the mean run time of the requests that are not nested.
 	outerRunTime time.Duration
-	// end is when the backend server or the node may exit, or zero.
-	end time.Time
+	// endings are when the backend server and the node may exit.
+	endings []ending
 }
 
 // initialRunTime is the assumed mean run time before any request has run.
--- a/internal/mesh/target/target.go
+++ b/internal/mesh/target/target.go
@@ -148,7 +148,7 @@
 	defer t.mu.Unlock()
 	t.stopsAt = at
 	if t.server != nil {
-		t.server.queue.EndBy(now, at)
+		t.server.queue.StopBy(now, at)
 	}
 }
 
@@ -217,7 +217,7 @@
 	}
 	s.queue = slot.New(s.slots())
 	if !t.stopsAt.IsZero() {
-		s.queue.EndBy(now, t.stopsAt)
+		s.queue.StopBy(now, t.stopsAt)
 	}
 	if instance.State == cicadaseam.BackendDraining {
 		s.drain(now, t.drainTime)
