sidecarcli: SIGHUP is handled from the start of the process on

What operators saw: a sidecar that gets SIGHUP while it starts ends, and its machine is without a node until it is started again. Cause: the handler was installed once the node listened; until then the default of the signal holds. Change: it is installed first; a signal during the start is handled after it. Evidence: TestHangupDuringTheStartEndsNothing holds a process at the reading of its settings: 'signal: hangup' before, the exit code for invalid settings after.

--- a/internal/command/sidecarcli/sidecarcli.go
+++ b/internal/command/sidecarcli/sidecarcli.go
@@ -68,6 +68,8 @@
 // Run runs a sidecar with the settings of a file, or of the one that the platform names,
 // until the context ends. It logs to out.
 func Run(ctx context.Context, file string, out io.Writer) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // from the start on: an unhandled one ends the process
 	debug.SetGCPercent(sidecarGCPercent)
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(sidecarMemoryLimit)
@@ -100,19 +102,17 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnHangup(ctx, n, file, log, logger)
+	go reloadOnHangup(ctx, hangups, n, file, log, logger)
 	return n.Run(ctx)
 }
 
-// reloadOnHangup loads the settings again on each SIGHUP. Invalid settings change nothing.
-func reloadOnHangup(ctx context.Context, n *sidecar.Node, file string, log *logging.Log, logger *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// reloadOnHangup loads the settings again on each signal. Invalid settings change nothing.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, n *sidecar.Node, file string, log *logging.Log, logger *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		}
 		settings, err := sidecar.Load(file)
 		if err == nil {
