pack: a message that is nested too deep is rejected before it is decoded

What operators saw (reported of a similar system, shown here): one odd entry or message takes more memory than the machine has, in each process that reads it, after each start again. Cause: the decoder skips unknown fields by calling itself for each level.

--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -49,6 +49,9 @@
 
 // Unmarshal decodes data into the message that is pointed to.
 func Unmarshal(data []byte, message any) error {
+	if err := checkDepth(data); err != nil {
+		return err
+	}
 	if len(data) < largeMessage {
 		return msgpack.Unmarshal(data, message)
 	}
@@ -68,11 +71,19 @@
 func UnmarshalExtended(data []byte, message, extension any) error {
 	r := bytes.NewReader(data)
 	decoder := msgpack.NewDecoder(r)
-	if err := decoder.Decode(message); err != nil || r.Len() == 0 {
+	if err := decodeNext(decoder, data, message); err != nil || r.Len() == 0 {
 		return err
 	}
-	if err := decoder.Decode(extension); err != nil {
+	if err := decodeNext(decoder, data[len(data)-r.Len():], extension); err != nil {
 		return errors.Mark(err, ErrExtension)
 	}
 	return nil
 }
+
+// decodeNext decodes the next value of a decoder, which is the first one in rest.
+func decodeNext(decoder *msgpack.Decoder, rest []byte, to any) error {
+	if err := checkDepth(rest); err != nil {
+		return err
+	}
+	return decoder.Decode(to)
+}
--- a/internal/call/ledger/shard.go
+++ b/internal/call/ledger/shard.go
@@ -4,6 +4,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/config/change"
 )
 
@@ -69,7 +70,7 @@
 		return nil, &change.FormatError{Format: data[0]}
 	}
 	var b Batch
-	if err := msgpack.Unmarshal(data[1:], &b); err != nil {
+	if err := pack.Unmarshal(data[1:], &b); err != nil {
 		return nil, &change.DecodeError{Size: len(data), Reason: err.Error()}
 	}
 	return &b, nil
--- a/internal/config/change/change.go
+++ b/internal/config/change/change.go
@@ -22,6 +22,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 )
 
 // Format is the number of the record format that this version reads and writes.
@@ -87,7 +88,7 @@
 	if len(data) > MaxBytes {
 		return c, &DecodeError{Size: len(data), Reason: "over the size limit"}
 	}
-	if err := msgpack.Unmarshal(data[1:], &c); err != nil {
+	if err := pack.Unmarshal(data[1:], &c); err != nil {
 		return cicadaseam.Change{}, &DecodeError{Size: len(data), Reason: err.Error()}
 	}
 	return c, nil
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/config/change"
 	"github.com/cicadaseam/cicadaseam/internal/config/fold"
 	"github.com/cicadaseam/cicadaseam/internal/config/tree"
@@ -76,7 +77,7 @@
 		return fold.State{}, &change.DecodeError{Size: len(data), Reason: err.Error()}
 	}
 	var s fold.State
-	if err := msgpack.Unmarshal(body, &s); err != nil {
+	if err := pack.Unmarshal(body, &s); err != nil {
 		return fold.State{}, &change.DecodeError{Size: len(data), Reason: err.Error()}
 	}
 	if faults := tree.FromObjects(s.Objects).Validate(); len(faults) > 0 {
@@ -91,7 +92,7 @@
 // openEnvelope verifies the checksum and returns the decompressed state.
 func openEnvelope(data []byte) ([]byte, error) {
 	var env envelope
-	if err := msgpack.Unmarshal(data[1:], &env); err != nil {
+	if err := pack.Unmarshal(data[1:], &env); err != nil {
 		return nil, err
 	}
 	if xxhash.Sum64(env.Body) != env.Sum {
--- a/internal/member/announce/announce.go
+++ b/internal/member/announce/announce.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadaseam/cicadaseam"
+	"github.com/cicadaseam/cicadaseam/internal/base/pack"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
 	"github.com/cicadaseam/cicadaseam/internal/base/wait"
 	"github.com/cicadaseam/cicadaseam/internal/member/gossip"
@@ -97,7 +98,7 @@
 	if len(data) == 0 || data[0] != Format {
 		return announcement, false
 	}
-	err := msgpack.Unmarshal(data[1:], &announcement)
+	err := pack.Unmarshal(data[1:], &announcement)
 	return announcement, err == nil && announcement.Addr != ""
 }
 
