sidecar, netio: records that no node writes are skipped, names are looked up in the background

What operators may see: a record of another writer in the directory, with a port out of range or a host name, counts as a node: it is in the size of the fleet, and heartbeats are sent to it. The lookup of its name holds up the heartbeats to all nodes, since it happens on the goroutine that sends them, under the lock of the cache. Change: the host and the port of a record are checked; a name is looked up beside, and until then sending to it is an error, as for an address that does not answer.

--- a/internal/client/netio/netio.go
+++ b/internal/client/netio/netio.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -49,35 +50,72 @@
 	if err != nil {
 		return nil, err
 	}
-	return &packetConn{conn: conn, addrs: map[string]*net.UDPAddr{}}, nil
+	return newPacketConn(conn), nil
 }
 
 // packetConn caches resolved addresses, since a node keeps sending to the same few
 // hundred.
 type packetConn struct {
-	conn  *net.UDPConn
-	mu    sync.Mutex
-	addrs map[string]*net.UDPAddr
+	conn   *net.UDPConn
+	lookUp func(addr string) (*net.UDPAddr, error)
+
+	mu      sync.Mutex
+	addrs   map[string]*net.UDPAddr
+	pending map[string]bool // names that are being looked up
+}
+
+func newPacketConn(conn *net.UDPConn) *packetConn {
+	lookUp := func(addr string) (*net.UDPAddr, error) { return net.ResolveUDPAddr("udp", addr) }
+	return &packetConn{conn: conn, lookUp: lookUp, addrs: map[string]*net.UDPAddr{}, pending: map[string]bool{}}
 }
 
-// maxAddrs bounds the cached addresses. When it is reached, the cache is emptied.
-const maxAddrs = 4096
+const (
+	// maxAddrs bounds the cached addresses. When it is reached, the cache is emptied.
+	maxAddrs = 4096
+	// maxLookups bounds the names that are looked up at the same time.
+	maxLookups = 8
+)
+
+// errLookup is returned for a name whose address is not known yet.
+var errLookup = errors.New("the name is being looked up")
 
+// resolve returns the UDP address of an IP address, or of a name that has been looked up. It does not
+// wait for name servers: the caller sends to other addresses too.
 func (p *packetConn) resolve(addr string) (*net.UDPAddr, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a := p.addrs[addr]; a != nil {
 		return a, nil
 	}
-	a, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		return nil, err
+	if ip, err := netip.ParseAddrPort(addr); err == nil {
+		a := net.UDPAddrFromAddrPort(ip)
+		p.cache(addr, a)
+		return a, nil
 	}
+	if len(p.pending) < maxLookups && !p.pending[addr] {
+		p.pending[addr] = true
+		go p.cacheName(addr)
+	}
+	return nil, errLookup
+}
+
+// cache adds an address to the cache. The lock is held.
+func (p *packetConn) cache(addr string, a *net.UDPAddr) {
 	if len(p.addrs) >= maxAddrs {
 		p.addrs = map[string]*net.UDPAddr{}
 	}
 	p.addrs[addr] = a
-	return a, nil
+}
+
+// cacheName looks up a name. A later call of resolve repeats a lookup that failed.
+func (p *packetConn) cacheName(addr string) {
+	a, err := p.lookUp(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, addr)
+	if err == nil {
+		p.cache(addr, a)
+	}
 }
 
 // Send implements cicadaseam.PacketConn.
--- a/internal/daemon/sidecar/join.go
+++ b/internal/daemon/sidecar/join.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,6 +49,10 @@
 	// answered, and awaitDepartedPeriod is the time between two looks for peers.
 	awaitDepartedTime   = 250 * time.Millisecond
 	awaitDepartedPeriod = 10 * time.Millisecond
+	// maxHostBytes and maxZoneBytes bound the host name or IP address of a node and the name of its
+	// zone.
+	maxHostBytes = 255
+	maxZoneBytes = 255
 	// recordDepartedTimeout bounds how long the acknowledgement of a draining or
 	// withdrawn instance waits for the directory.
 	recordDepartedTimeout = 300 * time.Millisecond
@@ -58,6 +64,23 @@
 	Zone string
 }
 
+// decodeNode returns the node that a record describes. Other writers may have left records that no node
+// writes.
+func decodeNode(value []byte) (nodeRecord, error) {
+	var r nodeRecord
+	if err := pack.Unmarshal(value, &r); err != nil {
+		return nodeRecord{}, err
+	}
+	host, port, err := net.SplitHostPort(r.Addr)
+	if err != nil {
+		return nodeRecord{}, errors.Wrap(err, "address of a node")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" || len(host) > maxHostBytes || len(r.Zone) > maxZoneBytes {
+		return nodeRecord{}, errors.New("the host, port or zone of a node is missing or out of range")
+	}
+	return r, nil
+}
+
 // departureRecord is the record of a departed instance in the directory.
 type departureRecord struct{ StartUnixMilli int64 }
 
@@ -229,8 +252,8 @@
 			departed = append(departed, departure{d, x.Addr})
 			continue
 		}
-		var record nodeRecord
-		if err := pack.Unmarshal(entry.Value, &record); err != nil {
+		record, err := decodeNode(entry.Value)
+		if err != nil {
 			n.logger.Warn("invalid directory record skipped", zap.String("key", entry.Key), logging.Error(err))
 			continue
 		}
--- a/internal/daemon/sidecar/records_test.go
+++ b/internal/daemon/sidecar/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +35,18 @@
 	_, serving := n.target.Instance(time.Now())
 	require.False(t, serving, "it may have been here")
 }
+
+// Guards against records of another writer that count as nodes: heartbeats are sent to them, and a part
+// of what the fleet may do is set aside for them.
+func TestRecordsThatNoNodeWritesAreSkipped(t *testing.T) {
+	n := newTestNode(t)
+	var entries []cicadaseam.DirectoryEntry
+	for i, addr := range []string{"", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:http", "[::1", ":7000",
+		strings.Repeat("a", 300) + ":7000", "127.0.0.7:7000", "[::7]:7000", "node-7.example:7000"} {
+		value, err := pack.Marshal(&nodeRecord{Addr: addr, Zone: "z"})
+		require.NoError(t, err)
+		entries = append(entries, cicadaseam.DirectoryEntry{Key: nodePrefix + strconv.Itoa(i), Value: value})
+	}
+	n.applyDirectory(entries)
+	require.Equal(t, 1+3, n.fleet.Size(), "this node and the last three")
+}
