front: a connection that gives way to a new one accepts no request any more

What callers could see: with 1,024 connections open, a kept connection is chosen to be closed for a new one; a request that arrives between the choice and the close is passed on, and its answer is lost with the connection. Change: the connection is marked as closing under that lock, unless a request has begun; then another one is chosen. Evidence: TestNoRequestBeginsOnAConnectionThatGaveWay: the request began before, not after.

--- a/internal/mesh/front/crowd_test.go
+++ b/internal/mesh/front/crowd_test.go
@@ -153,3 +153,23 @@
 		require.Equal(t, fmt.Sprintf("/%d 0 ", i), body)
 	}
 }
+
+// Guards against a request that is passed on, though its connection has just been closed for a new one:
+// it may not be repeated, and its caller would get no answer.
+func TestNoRequestBeginsOnAConnectionThatGaveWay(t *testing.T) {
+	s := New(echo, WithMaxConns(1))
+	nc, caller := net.Pipe()
+	defer caller.Close()
+	c := newConn(s, nc)
+	c.used = true
+	s.conns[c] = true
+	require.True(t, s.evictFor(time.Now()))
+	require.False(t, c.beginRequest())
+
+	nc, caller = net.Pipe()
+	defer caller.Close()
+	c = newConn(s, nc)
+	require.True(t, c.beginRequest())
+	require.False(t, c.closeUnlessBusy())
+	require.False(t, c.closing)
+}
--- a/internal/mesh/front/evict.go
+++ b/internal/mesh/front/evict.go
@@ -61,26 +61,42 @@
 // evictFor makes room for a new connection if there are too many. It reports whether there is room.
 // The lock is held.
 func (s *Server) evictFor(now time.Time) bool {
-	if len(s.conns)-s.evicting < s.maxConns {
-		return true
+	for len(s.conns)-s.evicting >= s.maxConns {
+		victim, state := s.firstToEvict(now)
+		if victim == nil {
+			return false
+		}
+		if state.receiving && s.evicting+1 < maxEvicting {
+			victim.interrupt() // its caller gets a reply
+		} else if !victim.closeUnlessBusy() {
+			continue // a request has just arrived on it
+		}
+		victim.evicted = true
+		s.evicting++
+		s.evictions.Add(1)
 	}
-	var victim *conn
-	var state connState
+	return true
+}
+
+// firstToEvict returns the connection that gives way first, with its state, or nil if none does. The
+// lock is held.
+func (s *Server) firstToEvict(now time.Time) (victim *conn, state connState) {
 	for c := range s.conns {
 		if x, ok := c.state(); ok && !c.evicted && x.rank(now) < rankProtected && (victim == nil || x.givesWayBefore(state, now)) {
 			victim, state = c, x
 		}
 	}
-	if victim == nil {
+	return victim, state
+}
+
+// closeUnlessBusy closes the connection and returns true, unless a request is in progress on it.
+func (c *conn) closeUnlessBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight > 0 {
 		return false
 	}
-	victim.evicted = true
-	s.evicting++
-	s.evictions.Add(1)
-	if state.receiving && s.evicting < maxEvicting {
-		victim.interrupt() // its caller gets a reply
-	} else {
-		_ = victim.nc.Close() // no request of it is in progress
-	}
+	c.closing = true
+	_ = c.nc.Close() // no request of it is in progress
 	return true
 }
