front: the test of bounded connections waits for each request before the next

Cause: TestConnectionsAreBounded expects the connection that began to send first to give way first, and began seven side by side: the server saw them in any order. Change: each connection has begun before the next one opens; the checks are the same.

--- a/internal/mesh/front/crowd_test.go
+++ b/internal/mesh/front/crowd_test.go
@@ -83,8 +83,8 @@
 		c, cr := dial()
 		_, _ = io.WriteString(c, post(10)+"x")
 		arriving = append(arriving, cr)
+		require.Eventually(t, func() bool { return countReceiving(s) == len(arriving) }, time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return countReceiving(s) == most-1 }, time.Second, time.Millisecond)
 	c, cr := dial()
 	_, _ = io.WriteString(c, get("/"))
 	resp, _ := readResponse(t, cr)
