--- a/cmd/cicadaseam/process_test.go
+++ b/cmd/cicadaseam/process_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/fake/program"
 )
 
 // eventTimeout bounds the wait for each expected event. The processes run in real time, so the
@@ -27,19 +29,7 @@
 // binary is the path of the command, which TestMain builds once.
 var binary string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "cicadaseam")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "cicadaseam")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("build: %v: %s", err, out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir) // a temporary folder
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(program.Main(m, "cicadaseam", &binary)) }
 
 // process is a running command and what it wrote to standard error, and to standard output
 // if it is a node.
--- a/cmd/cicadasidecar/hangup_test.go
+++ b/cmd/cicadasidecar/hangup_test.go
@@ -8,16 +8,20 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cicadaseam/cicadaseam/internal/fake/program"
 )
 
+// binary is the path of the program, which TestMain builds.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(program.Main(m, "cicadasidecar", &binary)) }
+
 // Guards against a SIGHUP that ends a process that has just started and still reads its settings.
 func TestHangupDuringTheStartEndsNothing(t *testing.T) {
-	dir := t.TempDir()
-	program, file := filepath.Join(dir, "cicadasidecar"), filepath.Join(dir, "node.ini")
-	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	file := filepath.Join(t.TempDir(), "node.ini")
 	require.NoError(t, syscall.Mkfifo(file, 0o600))
-	cmd := exec.Command(program, file)
+	cmd := exec.Command(binary, file)
 	require.NoError(t, cmd.Start())
 	settings, err := os.OpenFile(file, os.O_WRONLY, 0) // returns once the process has opened it too
 	require.NoError(t, err)
