mux: answers count in the budget until they are written to the other node

Callers saw: a node behind a slow link that asks for large answers makes the node that has them run out of memory. Cause: the body of a response counted while it was read from the backend server, and no more once it was encoded and queued for the other node. The queue of a connection had no bound in bytes.

The queue now holds each answer above 8 KiB in the budget for responses until it is written, canceled or its connection ends. So that a peer that is cut off does not hold it for as long as TCP repeats a segment, a frame that the peer does not take for 20 s ends the connection.

The crowd tests say now how much of the peak the kernel held unread.

--- a/cmd/cicadaseam/crowd_test.go
+++ b/cmd/cicadaseam/crowd_test.go
@@ -74,8 +74,8 @@
 	_ = resp.Body.Close() // only the status matters
 	require.Equal(n.t, http.StatusOK, resp.StatusCode)
 	memory, descriptors := n.usage.Peaks()
-	n.t.Logf("at most %d MB and %d descriptors", memory>>20, descriptors)
-	require.LessOrEqual(n.t, memory>>20, crowdMemory>>20, "MB, with what the kernel holds unread")
+	n.t.Logf("at most %s, and %d descriptors", memory, descriptors)
+	require.LessOrEqual(n.t, memory.Total()>>20, crowdMemory>>20, "MB, with what the kernel holds unread")
 }
 
 // crowdHead returns the head of a request with further header lines.
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -191,7 +191,7 @@
 	}
 	n.timers = timer.New(n.rng(1))
 	n.pool = mux.NewPool(n.network, n.timers, mux.WithPingTimeout(s.PingTimeout), mux.WithHeartbeatInterval(s.HeartbeatInterval))
-	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink), mux.WithBudget(budget.New(linkBudget)))
+	n.links = mux.NewServer(mux.HandlerFunc(n.serveLink), mux.WithBudget(budget.New(linkBudget)), mux.WithHeldAnswers(runner.Responses()))
 	n.store = store.New(s.Locality, store.WithLogger(n.logger))
 	n.gossip = gossip.New(self, n.network, n.pool, n.timers, n.rng(2),
 		gossip.WithProbePeriod(s.ProbePeriod), gossip.WithConfigStatus(n.configStatus, n.observePeer), gossip.WithOnMarks(n.mergeMarks))
--- a/internal/fake/crowd/usage.go
+++ b/internal/fake/crowd/usage.go
@@ -25,8 +25,22 @@
 	wg        sync.WaitGroup
 
 	mu          sync.Mutex
-	memory      int // peak in bytes
-	descriptors int // peak
+	memory      Memory // at the peak of their sum
+	descriptors int    // peak
+}
+
+// Memory is what a process takes, in bytes.
+type Memory struct {
+	Resident int
+	Unread   int // received by the kernel for the process, and not read by it
+}
+
+// Total returns the sum in bytes.
+func (m Memory) Total() int { return m.Resident + m.Unread }
+
+// String returns the parts in MB.
+func (m Memory) String() string {
+	return fmt.Sprintf("%d MB, of which %d are unread in the kernel", m.Total()>>20, m.Unread>>20)
 }
 
 // Watch starts to sample the process that listens on addresses.
@@ -67,17 +81,18 @@
 
 // sample updates the peaks.
 func (u *Usage) sample() {
-	memory := u.resident() + u.unread()
+	memory := Memory{Resident: u.resident(), Unread: u.unread()}
 	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", u.pid)) // none if the process has ended
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.memory = max(u.memory, memory)
+	if memory.Total() > u.memory.Total() {
+		u.memory = memory
+	}
 	u.descriptors = max(u.descriptors, len(files))
 }
 
-// Peaks returns the most memory, in bytes, and the most descriptors of all samples. The memory is what
-// is resident and what the kernel has received for the process and the process has not read.
-func (u *Usage) Peaks() (memory, descriptors int) {
+// Peaks returns the most memory and the most descriptors of all samples.
+func (u *Usage) Peaks() (memory Memory, descriptors int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.memory, u.descriptors
--- a/internal/link/mux/answers.go
+++ b/internal/link/mux/answers.go
@@ -11,6 +11,8 @@
 // frame of a large one, and large ones end sooner on average than if they took turns. Pongs and
 // refusals go before all answers.
 type answerQueue struct {
+	budget HeldBudget // nil if answers are not bounded
+
 	mu      sync.Mutex
 	control []*frame.Frame
 	answers []*queuedAnswer // in the order of their arrival
@@ -23,18 +25,30 @@
 type queuedAnswer struct {
 	id     uint64
 	frames []*frame.Frame
+	held   int64 // bytes of the budget
 }
 
-func newAnswerQueue() *answerQueue { return &answerQueue{wake: make(chan struct{}, 1)} }
+// uncountedAnswer is the size in bytes up to which an answer is not counted: the bound on the requests
+// of a connection covers it.
+const uncountedAnswer = 8 << 10
+
+func newAnswerQueue(budget HeldBudget) *answerQueue {
+	return &answerQueue{budget: budget, wake: make(chan struct{}, 1)}
+}
 
-// addAnswer queues an answer. It returns false if the queue is closed.
+// addAnswer queues an answer of at least one frame. It returns false if the queue is closed.
 func (q *answerQueue) addAnswer(id uint64, frames []*frame.Frame) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed {
 		return false
 	}
-	q.answers = append(q.answers, &queuedAnswer{id: id, frames: frames})
+	a := &queuedAnswer{id: id, frames: frames}
+	if size := int64(frames[0].Total); q.budget != nil && size > uncountedAnswer {
+		q.budget.Hold(size)
+		a.held = size
+	}
+	q.answers = append(q.answers, a)
 	q.signal()
 	return true
 }
@@ -103,8 +117,16 @@
 	return i < 0 || len(q.answers[i].frames) > 1
 }
 
+// release returns what an answer holds of the budget.
+func (q *answerQueue) release(a *queuedAnswer) {
+	if a.held > 0 {
+		q.budget.Release(a.held)
+	}
+}
+
 // remove removes the answer at an index. The lock is held.
 func (q *answerQueue) remove(i int) {
+	q.release(q.answers[i])
 	copy(q.answers[i:], q.answers[i+1:])
 	last := len(q.answers) - 1
 	q.answers[last] = nil
@@ -148,6 +170,9 @@
 	}
 	q.closed = true
 	dropped := len(q.answers)
+	for _, a := range q.answers {
+		q.release(a)
+	}
 	q.answers, q.control = nil, nil
 	close(q.wake)
 	return dropped
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -47,6 +47,9 @@
 	// pingIfIdleFor is the time without a request after which the next request on a connection
 	// also sends a ping, because the connection may have failed meanwhile.
 	pingIfIdleFor = 100 * time.Millisecond
+	// defaultWriteTimeout is the default of WithWriteTimeout. A peer that is frozen for a while
+	// keeps its connection.
+	defaultWriteTimeout = 20 * time.Second
 	// sendQueueMessages bounds the messages in the send queue of one connection. Answers are not
 	// counted.
 	sendQueueMessages = 64
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -19,7 +19,10 @@
 	workers  *workerPool
 	counters Counters
 	budget   *budget.Budget // nil if requests are not bounded
+	answers  HeldBudget     // nil if answers are not bounded
 	maxConns int
+	// writeTimeout bounds how long a frame may wait for a peer that does not read.
+	writeTimeout time.Duration
 
 	mu     sync.Mutex
 	conns  map[*serverConn]bool
@@ -37,12 +40,26 @@
 // A request that does not fit it is refused while it arrives. Requests of one frame are not counted.
 func WithBudget(b *budget.Budget) ServerOption { return func(s *Server) { s.budget = b } }
 
+// HeldBudget counts the memory of answers, which other parts of the process share.
+type HeldBudget interface {
+	// Hold counts n bytes of an answer that is there already.
+	Hold(n int64)
+	Release(n int64)
+}
+
+// WithHeldAnswers sets the budget in which answers count until they are written to the peer.
+func WithHeldAnswers(b HeldBudget) ServerOption { return func(s *Server) { s.answers = b } }
+
+// WithWriteTimeout sets how long a frame may wait for a peer that does not read, before the connection
+// is closed. The default is defaultWriteTimeout.
+func WithWriteTimeout(d time.Duration) ServerOption { return func(s *Server) { s.writeTimeout = d } }
+
 // WithMaxConns sets how many connections of peers may be open. The default is defaultMaxConns.
 func WithMaxConns(n int) ServerOption { return func(s *Server) { s.maxConns = n } }
 
 // NewServer returns a server that passes requests to handler.
 func NewServer(handler Handler, opts ...ServerOption) *Server {
-	s := &Server{handler: handler, workers: newWorkerPool(), maxConns: defaultMaxConns, conns: map[*serverConn]bool{}, silent: map[*serverConn]time.Time{}}
+	s := &Server{handler: handler, workers: newWorkerPool(), maxConns: defaultMaxConns, writeTimeout: defaultWriteTimeout, conns: map[*serverConn]bool{}, silent: map[*serverConn]time.Time{}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -67,7 +84,7 @@
 	c := &serverConn{
 		server:  s,
 		netConn: nc,
-		queue:   newAnswerQueue(),
+		queue:   newAnswerQueue(s.answers),
 		w:       frame.NewWriter(countingWriter{nc, &s.counters.BytesOut}),
 		running: map[uint64]context.CancelFunc{},
 		partial: map[uint64]*partialRequest{},
@@ -331,7 +348,7 @@
 // writeAnswer writes an answer on the goroutine of its handler, which saves waking the writer.
 // The caller holds writeMu; writeAnswer unlocks it.
 func (c *serverConn) writeAnswer(frames []*frame.Frame) {
-	ok := writeAll(c.w, frames, true)
+	ok := c.write(frames, true)
 	c.writeMu.Unlock()
 	c.server.unanswered.Add(-1)
 	if !ok {
@@ -383,7 +400,7 @@
 			answers++
 		}
 		c.writeMu.Lock()
-		ok := writeAll(c.w, []*frame.Frame{f}, flush)
+		ok := c.write([]*frame.Frame{f}, flush)
 		c.writeMu.Unlock()
 		if !ok {
 			return false
@@ -395,6 +412,13 @@
 	}
 }
 
+// write writes frames and then flushes if flush is true. It reports whether it succeeded. The caller
+// holds writeMu.
+func (c *serverConn) write(frames []*frame.Frame, flush bool) bool {
+	_ = c.netConn.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)) // the write reports a failure
+	return writeAll(c.w, frames, flush)
+}
+
 // writeAll writes frames and then flushes if flush is true. It reports whether it succeeded.
 func writeAll(w *frame.Writer, frames []*frame.Frame, flush bool) bool {
 	for _, f := range frames {
