--- a/internal/daemon/sidecar/link.go
+++ b/internal/daemon/sidecar/link.go
@@ -25,19 +25,19 @@
 // Run sends a call to the node at an address and waits for the answer.
 func (r remoteTargets) Run(ctx context.Context, addr string, call *cicadaseam.MeshCall) *cicadaseam.MeshAnswer {
 	call.SenderID, call.SentAt = r.node.senderID, transit.Now()
-	payload, err := method.Encode(call)
+	payload, err := method.EncodeParts(call)
 	if err != nil {
 		r.node.logger.Error("call not encoded", zap.String("request", call.ID), logging.Error(err))
 		return &cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonLinkLost}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout+answerMargin)
 	defer cancel()
-	data, err := r.node.pool.Request(ctx, addr, method.MeshCall, payload)
+	data, err := r.node.pool.RequestParts(ctx, addr, method.MeshCall, payload)
 	if err != nil {
 		return r.lostAnswer(ctx, addr, call, err)
 	}
 	answer := &cicadaseam.MeshAnswer{}
-	err = method.Decode(data, answer)
+	err = method.DecodeShared(data, answer, &answer.Body)
 	if err == nil {
 		err = http1.CheckHeaders(answer.Status, answer.Headers) // a node of an earlier release may pass on more
 	}
@@ -72,18 +72,30 @@
 }
 
 // handleLinkRequest handles a request of another node.
-func (n *Node) handleLinkRequest(ctx context.Context, methodID uint8, payload []byte) ([]byte, error) {
+func (n *Node) handleLinkRequest(ctx context.Context, methodID uint8, payload []byte) ([][]byte, error) {
+	if methodID == method.MeshCall {
+		return n.runCall(ctx, payload)
+	}
+	data, err := n.handleControlRequest(methodID, payload)
+	return [][]byte{data}, err
+}
+
+// runCall runs a call of another node at the backend server, and returns the encoded answer.
+func (n *Node) runCall(ctx context.Context, payload []byte) ([][]byte, error) {
+	var call cicadaseam.MeshCall
+	if err := method.DecodeShared(payload, &call, &call.Body); err != nil {
+		return nil, err
+	}
+	if n.refusingCalls.Load() {
+		return method.EncodeParts(&cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonDraining})
+	}
+	n.deductDelay(&call)
+	return method.EncodeParts(n.target.Run(ctx, &call))
+}
+
+// handleControlRequest handles a request of another node that is no call.
+func (n *Node) handleControlRequest(methodID uint8, payload []byte) ([]byte, error) {
 	switch methodID {
-	case method.MeshCall:
-		var call cicadaseam.MeshCall
-		if err := method.Decode(payload, &call); err != nil {
-			return nil, err
-		}
-		if n.refusingCalls.Load() {
-			return method.Encode(&cicadaseam.MeshAnswer{Outcome: cicadaseam.OutcomeNotRun, Reason: cicadaseam.ReasonDraining})
-		}
-		n.deductDelay(&call)
-		return method.Encode(n.target.Run(ctx, &call))
 	case method.Document:
 		var have cicadaseam.RevisionID
 		if err := method.Decode(payload, &have); err != nil {
--- a/internal/daemon/sidecar/link_test.go
+++ b/internal/daemon/sidecar/link_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -33,10 +34,10 @@
 			SenderID: 7, SentAt: transit.Now() + clockOffset - delay,
 		})
 		require.NoError(t, err)
-		data, err := n.handleLinkRequest(context.Background(), method.MeshCall, payload)
+		parts, err := n.handleLinkRequest(context.Background(), method.MeshCall, payload)
 		require.NoError(t, err)
 		answer := &cicadaseam.MeshAnswer{}
-		require.NoError(t, method.Decode(data, answer))
+		require.NoError(t, method.Decode(bytes.Join(parts, nil), answer))
 		return answer
 	}
 	require.Equal(t, cicadaseam.OutcomeRan, run("a", 0).Outcome)
--- a/internal/daemon/sidecar/sidecar.go
+++ b/internal/daemon/sidecar/sidecar.go
@@ -172,7 +172,7 @@
 	n.pool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(linkPingTimeout), mux.WithDialTimeout(linkDialTimeout), mux.WithMaxConnectWait(linkMaxConnectWait), mux.WithAnswerBudget(upstream.Responses()))
 	n.bulkPool = mux.NewPool(netio.New(), n.timers, mux.WithPingTimeout(bulkPingTimeout), mux.WithHeartbeatInterval(bulkPingTimeout/4))
 	n.requests = budget.New(front.DefaultBudget)
-	n.links = mux.NewServer(mux.HandlerFunc(n.handleLinkRequest), mux.WithBudget(n.requests), mux.WithHeldAnswers(upstream.Responses()))
+	n.links = mux.NewServer(mux.PartsFunc(n.handleLinkRequest), mux.WithBudget(n.requests), mux.WithHeldAnswers(upstream.Responses()))
 	n.guard = guard.New()
 	n.prover, n.keyLoop.wake = keys.New(keys.WithLimit(s.KeyRevoke)), make(chan struct{}, 1)
 	n.delayEstimator = transit.New()
--- a/internal/link/frame/assemble.go
+++ b/internal/link/frame/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/cicadaseam/cicadaseam/internal/base/alloc"
 )
@@ -79,18 +80,42 @@
 // Data returns the message. It is complete only after Add returned true.
 func (a *Assembler) Data() []byte { return a.data }
 
-// Split returns the frames of a message. A message without data is one frame.
-func Split(kind Kind, id uint64, method uint8, data []byte) []*Frame {
-	total := uint32(len(data))
-	frames := make([]*Frame, 0, len(data)/MaxChunkBytes+1)
+// Split returns the frames of a message whose data is that of all parts. A message without data is one
+// frame. The frames share the memory of the parts.
+func Split(kind Kind, id uint64, method uint8, parts ...[]byte) []*Frame {
+	total := 0
+	for _, p := range parts {
+		total += len(p)
+	}
+	parts = slices.Clone(parts)
+	frames := make([]*Frame, 0, total/MaxChunkBytes+1)
+	left := total
 	for seq := uint32(0); ; seq++ {
-		n := min(len(data), MaxChunkBytes)
-		f := &Frame{Kind: kind, ID: id, Method: method, Seq: seq, Total: total, Data: data[:n]}
-		data = data[n:]
-		f.End = len(data) == 0
+		f := &Frame{Kind: kind, ID: id, Method: method, Seq: seq, Total: uint32(total)}
+		f.Data, parts = cutChunk(parts)
+		left -= len(f.Data)
+		f.End = left == 0
 		frames = append(frames, f)
 		if f.End {
 			return frames
 		}
 	}
 }
+
+// cutChunk cuts the data of one frame off the front of parts, and returns the rest. It copies only where
+// parts meet.
+func cutChunk(parts [][]byte) (chunk []byte, rest [][]byte) {
+	if len(parts) == 1 || len(parts) > 1 && len(parts[0]) >= MaxChunkBytes {
+		n := min(len(parts[0]), MaxChunkBytes)
+		chunk, parts[0] = parts[0][:n], parts[0][n:]
+		return chunk, parts
+	}
+	for len(parts) > 0 && len(chunk) < MaxChunkBytes {
+		n := min(len(parts[0]), MaxChunkBytes-len(chunk))
+		chunk = append(chunk, parts[0][:n]...)
+		if parts[0] = parts[0][n:]; len(parts[0]) == 0 {
+			parts = parts[1:]
+		}
+	}
+	return chunk, parts
+}
--- a/internal/link/frame/frame_test.go
+++ b/internal/link/frame/frame_test.go
@@ -90,3 +90,20 @@
 		}
 	})
 }
+
+// Guards against data that is lost, doubled or copied where the parts of a message meet.
+func TestPartsAreSplitLikeOneMessage(t *testing.T) {
+	long := bytes.Repeat([]byte("seam"), MaxChunkBytes)
+	for _, parts := range [][][]byte{nil, {nil}, {{1}, nil, {2}}, {{1, 2}, long, {3}}, {long, long}, {long, nil}, {nil, long, long[:1], long[:MaxChunkBytes]}} {
+		want := Split(Response, 3, 1, bytes.Join(parts, nil))
+		got := Split(Response, 3, 1, parts...)
+		require.Len(t, got, len(want))
+		for i := range want {
+			require.Equal(t, want[i].Seq, got[i].Seq)
+			require.Equal(t, want[i].End, got[i].End)
+			require.Equal(t, want[i].Total, got[i].Total)
+			require.True(t, bytes.Equal(want[i].Data, got[i].Data), "frame %d", i)
+		}
+	}
+	require.Same(t, &long[MaxChunkBytes-2], &Split(Response, 3, 1, []byte{1, 2}, long)[1].Data[0])
+}
--- a/internal/link/method/method.go
+++ b/internal/link/method/method.go
@@ -70,3 +70,16 @@
 func Decode(payload []byte, message any) error {
 	return errors.Wrapf(pack.Unmarshal(payload, message), "decode %T", message)
 }
+
+// EncodeParts returns the message encoded into parts that follow each other. Long bytes in it are not
+// copied, so they must not change any more.
+func EncodeParts(message any) ([][]byte, error) {
+	parts, err := pack.MarshalParts(message)
+	return parts, errors.Wrapf(err, "encode %T", message)
+}
+
+// DecodeShared decodes a payload into message, which is a pointer. shared is its only field that holds
+// bytes. If they are long, it shares the memory of the payload.
+func DecodeShared(payload []byte, message any, shared *[]byte) error {
+	return errors.Wrapf(pack.UnmarshalShared(payload, message, shared), "decode %T", message)
+}
--- a/internal/link/mux/conn.go
+++ b/internal/link/mux/conn.go
@@ -83,10 +83,10 @@
 }
 
 // request sends a message and waits for its answer.
-func (c *conn) request(ctx context.Context, method uint8, payload []byte) ([]byte, error) {
+func (c *conn) request(ctx context.Context, method uint8, parts [][]byte) ([]byte, error) {
 	p := &pendingRequest{done: make(chan result, 1)}
 	idle := time.Since(time.Unix(0, c.lastRequest.Swap(time.Now().UnixNano())))
-	id, err := c.send(p, method, payload)
+	id, err := c.send(p, method, parts)
 	if err != nil {
 		return nil, err
 	}
@@ -127,8 +127,8 @@
 // send gives the request an id and queues it in one step, so that ids increase on the wire and
 // the server can drop duplicate requests. If nothing is queued, the requester writes the request
 // itself, which saves waking the writer.
-func (c *conn) send(p *pendingRequest, method uint8, payload []byte) (uint64, error) {
-	id, m, direct, err := c.register(p, method, payload)
+func (c *conn) send(p *pendingRequest, method uint8, parts [][]byte) (uint64, error) {
+	id, m, direct, err := c.register(p, method, parts)
 	if err != nil || !direct {
 		return id, err
 	}
@@ -143,14 +143,14 @@
 // register adds a request to the pending ones and queues it, unless direct is true: then writeMu
 // is held, and the caller must write the request and unlock writeMu. In both cases no later
 // request can precede it on the wire.
-func (c *conn) register(p *pendingRequest, method uint8, payload []byte) (id uint64, m outgoingMessage, direct bool, err error) {
+func (c *conn) register(p *pendingRequest, method uint8, parts [][]byte) (id uint64, m outgoingMessage, direct bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return 0, m, false, &LinkError{Peer: c.peer, Reason: c.err.Error()}
 	}
 	id = c.lastID + 1
-	m = outgoingMessage{frames: frame.Split(frame.Request, id, method, payload), request: p}
+	m = outgoingMessage{frames: frame.Split(frame.Request, id, method, parts...), request: p}
 	direct = len(m.frames) == 1 && c.unwritten.Load() == 0 && c.writeMu.TryLock()
 	if !direct && !c.enqueue(m) {
 		return 0, m, false, &LinkError{Peer: c.peer, Reason: "send queue is full"}
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -86,15 +86,25 @@
 func (e *RemoteError) Error() string { return fmt.Sprintf("peer %s: %s", e.Peer, e.Text) }
 
 // Handler serves the requests of peers. The context is canceled when the peer cancels the
-// request or the connection is lost.
+// request or the connection is lost. The data of the answer is that of all parts, which must not change
+// any more.
 type Handler interface {
-	Serve(ctx context.Context, method uint8, payload []byte) ([]byte, error)
+	Serve(ctx context.Context, method uint8, payload []byte) (parts [][]byte, err error)
 }
 
-// HandlerFunc adapts a function to a Handler.
+// HandlerFunc adapts a function that returns an answer in one part to a Handler.
 type HandlerFunc func(ctx context.Context, method uint8, payload []byte) ([]byte, error)
 
 // Serve implements Handler.
-func (f HandlerFunc) Serve(ctx context.Context, method uint8, payload []byte) ([]byte, error) {
+func (f HandlerFunc) Serve(ctx context.Context, method uint8, payload []byte) ([][]byte, error) {
+	data, err := f(ctx, method, payload)
+	return [][]byte{data}, err
+}
+
+// PartsFunc adapts a function to a Handler.
+type PartsFunc func(ctx context.Context, method uint8, payload []byte) ([][]byte, error)
+
+// Serve implements Handler.
+func (f PartsFunc) Serve(ctx context.Context, method uint8, payload []byte) ([][]byte, error) {
 	return f(ctx, method, payload)
 }
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -148,15 +148,30 @@
 
 // Request sends a message to the peer at addr and returns its answer.
 func (p *Pool) Request(ctx context.Context, addr string, method uint8, payload []byte) ([]byte, error) {
+	return p.RequestParts(ctx, addr, method, [][]byte{payload})
+}
+
+// RequestParts is like Request, for a payload that is the data of all parts. They must not change any
+// more, even after it returned.
+func (p *Pool) RequestParts(ctx context.Context, addr string, method uint8, parts [][]byte) ([]byte, error) {
 	c, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := c.request(ctx, method, payload)
-	p.counters.addMethodBytes(method, len(payload), len(answer))
+	size := sizeOf(parts)
+	answer, err := c.request(ctx, method, parts)
+	p.counters.addMethodBytes(method, size, len(answer))
 	return answer, err
 }
 
+// sizeOf returns the bytes of all parts.
+func sizeOf(parts [][]byte) (size int) {
+	for _, p := range parts {
+		size += len(p)
+	}
+	return size
+}
+
 // connect returns a live connection to the peer at addr. It dials if there is none, or waits for
 // the dial in progress.
 func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -324,9 +324,9 @@
 func (c *serverConn) serveRequest(ctx context.Context, id uint64, method uint8, payload []byte) {
 	defer c.finish(id)
 	answer, err := c.server.handler.Serve(ctx, method, payload)
-	c.server.counters.addMethodBytes(method, len(payload), len(answer))
+	c.server.counters.addMethodBytes(method, len(payload), sizeOf(answer))
 	if err != nil {
-		c.answer(frame.Failure, id, []byte(err.Error()))
+		c.answer(frame.Failure, id, [][]byte{[]byte(err.Error())})
 		return
 	}
 	c.answer(frame.Response, id, answer)
@@ -334,8 +334,8 @@
 
 // answer sends the answer to a request that a handler served. It writes a small answer directly if
 // nothing is queued and the connection is not being written to.
-func (c *serverConn) answer(kind frame.Kind, id uint64, data []byte) {
-	frames := frame.Split(kind, id, 0, data)
+func (c *serverConn) answer(kind frame.Kind, id uint64, parts [][]byte) {
+	frames := frame.Split(kind, id, 0, parts...)
 	if len(frames) == 1 && c.queue.isEmpty() && c.writeMu.TryLock() {
 		c.writeAnswer(frames)
 		return
