--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -12,11 +12,17 @@
 // a field of it skips the field, and without an extension all of its fields are zero. A zero field
 // must therefore mean what the message meant before the field existed.
 //
+// A large body is neither copied when its message is encoded into parts, nor when it is decoded into a
+// field that shares the memory of the data. The encoding is the same.
+//
 // # Usage
 //
 //	data, err := pack.Marshal(&message)
 //	err = pack.Unmarshal(data, &message)
 //
+//	parts, err := pack.MarshalParts(&message)
+//	err = pack.UnmarshalShared(data, &message, &message.Body)
+//
 //	data, err = pack.AppendExtension(data, &extension)
 //	err = pack.UnmarshalExtended(data, &message, &extension)
 package pack
--- a/internal/link/mux/mux.go
+++ b/internal/link/mux/mux.go
@@ -19,6 +19,8 @@
 //   - LinkError.Sent is false only if no byte of the request was written, or if the peer refused
 //     it before a handler saw it.
 //   - Frames of an unknown or finished request are dropped.
+//   - A peer is told of each request that was canceled after it was sent, as long as the connection
+//     lives.
 //
 // # Usage
 //
