front: requests of a caller that left are canceled while its pipeline is full

Callers and backend servers saw: a caller that sends 34 requests or more on a connection and leaves has 33 of them run to their end, with a slot each. Cause: with 32 replies pending, the reader of the connection waits for room and reads nothing, so it does not see the end of the connection.

While it waits it asks the kernel every 100 ms whether the peer has closed, cancels the requests then, and begins none. A close behind more data than the receive buffer takes is seen only when that has been read.

--- a/internal/client/http1/http1.go
+++ b/internal/client/http1/http1.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // maxInterim bounds the interim (1xx) responses before the final one.
@@ -56,3 +57,18 @@
 	})
 	return err == nil && (peekErr == syscall.EAGAIN || peekErr == syscall.EINTR)
 }
+
+// IsClosedByPeer reports whether the peer has closed a connection of which not all data has been read.
+func IsClosedByPeer(raw syscall.RawConn) bool {
+	var info *unix.TCPInfo
+	err := raw.Control(func(fd uintptr) {
+		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) // nil if it is no TCP socket
+	})
+	return err != nil || info != nil && (info.State == tcpClose || info.State == tcpCloseWait)
+}
+
+// States of a TCP connection, as the kernel numbers them.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -139,7 +139,7 @@
 	p := &pendingReply{reply: reply, closeAfter: true, done: make(chan struct{})}
 	close(p.done)
 	if c.beginRequest() {
-		c.pipeline <- p
+		c.enqueue(p)
 	}
 }
 
@@ -280,7 +280,13 @@
 	req := in.request
 	p := &pendingReply{method: req.Method, done: make(chan struct{}), closeAfter: req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load() || c.server.isCrowded()}
 	c.server.inFlight.Add(1)
-	c.pipeline <- p
+	c.enqueue(p)
+	if c.ctx.Err() != nil { // the caller left meanwhile
+		p.reply = &dispatch.Reply{Status: http.StatusServiceUnavailable}
+		close(p.done)
+		c.release(in)
+		return false
+	}
 	go c.handle(p, newRequest(req, in.body), in)
 	if p.closeAfter {
 		c.waitForClose()
@@ -289,6 +295,28 @@
 	return true
 }
 
+// enqueue adds a reply to the pipeline, and waits while that is full. Nothing is read meanwhile, so it
+// looks whether the caller has closed the connection: its requests are canceled then.
+func (c *conn) enqueue(p *pendingReply) {
+	select {
+	case c.pipeline <- p:
+		return
+	default:
+	}
+	ticker := time.NewTicker(closePollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c.pipeline <- p:
+			return
+		case <-ticker.C:
+			if c.raw != nil && http1.IsClosedByPeer(c.raw) {
+				c.cancel()
+			}
+		}
+	}
+}
+
 // handle runs the handler for a request. Its context ends when the caller closes the
 // connection or the server cancels its requests.
 func (c *conn) handle(p *pendingReply, r *dispatch.Request, in *received) {
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -89,6 +89,9 @@
 	// maxPipelined bounds the queue of pending replies of a connection. No further
 	// request is started while it is full.
 	maxPipelined = 32
+	// closePollInterval is the time between two looks whether the caller has closed a connection from
+	// which no request is read.
+	closePollInterval = 100 * time.Millisecond
 	// maxKeptConns is the number of open connections beyond which each is closed after its
 	// next reply. Callers that retry on new connections would otherwise use up the
 	// descriptors and the memory of the process.
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -153,6 +154,25 @@
 	<-canceled
 }
 
+// Guards against requests that run on after their caller has left, if it had sent more of them on its
+// connection than are read at the same time.
+func TestCallerThatLeavesAFullPipelineCancelsItsRequests(t *testing.T) {
+	var begun, running atomic.Int64
+	_, nc, _ := startServer(t, func(ctx context.Context, _ *dispatch.Request) *dispatch.Reply {
+		begun.Add(1)
+		running.Add(1)
+		defer running.Add(-1)
+		<-ctx.Done()
+		return &dispatch.Reply{Status: http.StatusServiceUnavailable}
+	}, cicadaseam.Limits{})
+	_, err := io.WriteString(nc, strings.Repeat(get("/a"), 2*maxPipelined))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return running.Load() >= maxPipelined }, 10*time.Second, time.Millisecond)
+	_ = nc.Close()
+	require.Eventually(t, func() bool { return running.Load() == 0 }, 10*time.Second, time.Millisecond)
+	require.LessOrEqual(t, begun.Load(), int64(maxPipelined+1), "none begins after the caller has left")
+}
+
 func TestConnectionCloseFromCallerIsHonoured(t *testing.T) {
 	_, nc, r := startServer(t, echo, cicadaseam.Limits{})
 	_, _ = io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n")
