--- a/internal/link/mux/cancel_test.go
+++ b/internal/link/mux/cancel_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,31 +14,17 @@
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 )
 
-// startWaitingServer starts a server on a loopback address whose requests run until they are canceled,
-// and counts those that run.
-func startWaitingServer(t *testing.T) (addr string, running *atomic.Int64) {
-	running = &atomic.Int64{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	s := NewServer(HandlerFunc(func(ctx context.Context, _ uint8, _ []byte) ([]byte, error) {
+// Guards against requests that run on though many callers have left at once: more cancellations than
+// the send queue takes.
+func TestCancellationsAreNotDropped(t *testing.T) {
+	const requests = 4 * sendQueueMessages
+	var running atomic.Int64
+	_, addr := startServer(t, func(ctx context.Context, _ uint8, _ []byte) ([]byte, error) {
 		running.Add(1)
 		defer running.Add(-1)
 		<-ctx.Done()
 		return nil, ctx.Err()
-	}))
-	go s.Serve(l)
-	t.Cleanup(func() {
-		_ = l.Close()
-		s.Close()
 	})
-	return l.Addr().String(), running
-}
-
-// Guards against requests that run on though many callers have left at once: more cancellations than
-// the send queue takes.
-func TestCancellationsAreNotDropped(t *testing.T) {
-	const requests = 4 * sendQueueMessages
-	addr, running := startWaitingServer(t)
 	pool := NewPool(netio.New(), timer.New(rand.New(rand.NewPCG(1, 1))))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/link/mux/evict_test.go
+++ b/internal/link/mux/evict_test.go
@@ -16,9 +16,14 @@
 
 // startEchoServer starts a server on a loopback address that answers with the payload.
 func startEchoServer(t *testing.T, opts ...ServerOption) (*Server, string) {
+	return startServer(t, func(_ context.Context, _ uint8, p []byte) ([]byte, error) { return p, nil }, opts...)
+}
+
+// startServer starts a server on a loopback address, and closes it when the test ends.
+func startServer(t *testing.T, h HandlerFunc, opts ...ServerOption) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := NewServer(HandlerFunc(func(_ context.Context, _ uint8, p []byte) ([]byte, error) { return p, nil }), opts...)
+	s := NewServer(h, opts...)
 	go s.Serve(l)
 	t.Cleanup(func() {
 		_ = l.Close()
