--- a/internal/base/alloc/alloc.go
+++ b/internal/base/alloc/alloc.go
@@ -40,6 +40,15 @@
 	return make([]byte, n)
 }
 
+// Join returns the contents of all parts, which have a size in bytes together, in one buffer.
+func Join(parts [][]byte, size int) []byte {
+	joined := Bytes(size)[:0]
+	for _, p := range parts {
+		joined = append(joined, p...)
+	}
+	return joined
+}
+
 // exceeds reports whether a buffer of n bytes exceeds the memory limit of a process that uses a number
 // of bytes.
 func exceeds(used, n, limit int64) bool { return limit != math.MaxInt64 && used+n > limit }
--- a/internal/base/pack/pack.go
+++ b/internal/base/pack/pack.go
@@ -29,6 +29,7 @@
 
 import (
 	"bytes"
+	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -39,14 +40,19 @@
 
 // Marshal encodes a message.
 func Marshal(message any) ([]byte, error) {
+	var buf bytes.Buffer
+	err := encode(&buf, message)
+	return buf.Bytes(), err
+}
+
+// encode writes an encoded message.
+func encode(w io.Writer, message any) error {
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
-	var buf bytes.Buffer
-	enc.Reset(&buf)
+	enc.Reset(w)
 	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
-	err := enc.Encode(message)
-	return buf.Bytes(), err
+	return enc.Encode(message)
 }
 
 // largeMessage is the size in bytes from which on the parts of a message are allocated at once, as
--- a/internal/base/pack/shared.go
+++ b/internal/base/pack/shared.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
@@ -13,13 +12,8 @@
 // MarshalParts encodes a message into parts that follow each other. Bytes in the message of sharedBytes
 // and more are a part of their own that shares their memory: they must not change any more.
 func MarshalParts(message any) ([][]byte, error) {
-	enc := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(enc)
 	var w partsWriter
-	enc.Reset(&w)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	err := enc.Encode(message)
+	err := encode(&w, message)
 	return w.all(), err
 }
 
@@ -80,25 +74,16 @@
 		if end = skipValue(data, start); end < 0 {
 			return 0, 0, 0
 		}
-		if size = end - start - bytesHeader(data[start]); size >= sharedBytes && msgpcode.IsBin(data[start]) {
-			return start, end, size
+		if c := data[start]; msgpcode.IsBin(c) {
+			if size = end - start - 1 - forms[c-firstNil].length; size >= sharedBytes {
+				return start, end, size
+			}
 		}
 		start = end
 	}
 	return 0, 0, 0
 }
 
-// bytesHeader returns the size of the header of bytes that begin with c.
-func bytesHeader(c byte) int {
-	switch c {
-	case msgpcode.Bin8:
-		return 1 + 1
-	case msgpcode.Bin16:
-		return 1 + 2
-	}
-	return 1 + 4
-}
-
 // skipValue returns where the value at start ends with all values in it, or -1 if it is truncated.
 func skipValue(data []byte, start int) (end int) {
 	end = start
--- a/internal/client/connpool/body.go
+++ b/internal/client/connpool/body.go
@@ -85,11 +85,7 @@
 	if first := b.buffers[0]; len(b.buffers) == 1 && float64(cap(first)-len(first)) <= maxUnusedPart*float64(cap(first)) {
 		return first
 	}
-	body := alloc.Bytes(int(b.size))[:0]
-	for _, part := range b.buffers {
-		body = append(body, part...)
-	}
-	return body
+	return alloc.Join(b.buffers, int(b.size))
 }
 
 // discardBody reads a body of at most maxBody bytes and keeps nothing of it.
--- a/internal/link/frame/assemble.go
+++ b/internal/link/frame/assemble.go
@@ -80,13 +80,18 @@
 // Data returns the message. It is complete only after Add returned true.
 func (a *Assembler) Data() []byte { return a.data }
 
+// Size returns the size in bytes of a message in parts.
+func Size(parts [][]byte) (size int) {
+	for _, p := range parts {
+		size += len(p)
+	}
+	return size
+}
+
 // Split returns the frames of a message whose data is that of all parts. A message without data is one
 // frame. The frames share the memory of the parts.
 func Split(kind Kind, id uint64, method uint8, parts ...[]byte) []*Frame {
-	total := 0
-	for _, p := range parts {
-		total += len(p)
-	}
+	total := Size(parts)
 	parts = slices.Clone(parts)
 	frames := make([]*Frame, 0, total/MaxChunkBytes+1)
 	left := total
--- a/internal/link/mux/answers.go
+++ b/internal/link/mux/answers.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/link/frame"
 )
 
@@ -11,7 +12,7 @@
 // frame of a large one, and large ones end sooner on average than if they took turns. Pongs and
 // refusals go before all answers.
 type answerQueue struct {
-	budget HeldBudget // nil if answers are not bounded
+	budget cicadaseam.ReplyBudget // nil if answers are not bounded
 
 	mu      sync.Mutex
 	control []*frame.Frame
@@ -32,7 +33,7 @@
 // of a connection covers it.
 const uncountedAnswer = 8 << 10
 
-func newAnswerQueue(budget HeldBudget) *answerQueue {
+func newAnswerQueue(budget cicadaseam.ReplyBudget) *answerQueue {
 	return &answerQueue{budget: budget, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/link/mux/pool.go
+++ b/internal/link/mux/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/timer"
+	"github.com/cicadaseam/cicadaseam/internal/link/frame"
 )
 
 var (
@@ -158,20 +159,12 @@
 	if err != nil {
 		return nil, err
 	}
-	size := sizeOf(parts)
+	size := frame.Size(parts)
 	answer, err := c.request(ctx, method, parts)
 	p.counters.addMethodBytes(method, size, len(answer))
 	return answer, err
 }
 
-// sizeOf returns the bytes of all parts.
-func sizeOf(parts [][]byte) (size int) {
-	for _, p := range parts {
-		size += len(p)
-	}
-	return size
-}
-
 // connect returns a live connection to the peer at addr. It dials if there is none, or waits for
 // the dial in progress.
 func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
--- a/internal/link/mux/server.go
+++ b/internal/link/mux/server.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadaseam/cicadaseam"
 	"github.com/cicadaseam/cicadaseam/internal/base/budget"
 	"github.com/cicadaseam/cicadaseam/internal/client/netio"
 	"github.com/cicadaseam/cicadaseam/internal/link/frame"
@@ -18,8 +19,8 @@
 	handler  Handler
 	workers  *workerPool
 	counters Counters
-	budget   *budget.Budget // nil if requests are not bounded
-	answers  HeldBudget     // nil if answers are not bounded
+	budget   *budget.Budget         // nil if requests are not bounded
+	answers  cicadaseam.ReplyBudget // nil if answers are not bounded
 	maxConns int
 	// writeTimeout bounds how long a frame may wait for a peer that does not read.
 	writeTimeout time.Duration
@@ -40,15 +41,8 @@
 // A request that does not fit it is refused while it arrives. Requests of one frame are not counted.
 func WithBudget(b *budget.Budget) ServerOption { return func(s *Server) { s.budget = b } }
 
-// HeldBudget counts the memory of answers, which other parts of the process share.
-type HeldBudget interface {
-	// Hold counts n bytes of an answer that is there already.
-	Hold(n int64)
-	Release(n int64)
-}
-
 // WithHeldAnswers sets the budget in which answers count until they are written to the peer.
-func WithHeldAnswers(b HeldBudget) ServerOption { return func(s *Server) { s.answers = b } }
+func WithHeldAnswers(b cicadaseam.ReplyBudget) ServerOption { return func(s *Server) { s.answers = b } }
 
 // WithWriteTimeout sets how long a frame may wait for a peer that does not read, before the connection
 // is closed. The default is defaultWriteTimeout.
@@ -324,7 +318,7 @@
 func (c *serverConn) serveRequest(ctx context.Context, id uint64, method uint8, payload []byte) {
 	defer c.finish(id)
 	answer, err := c.server.handler.Serve(ctx, method, payload)
-	c.server.counters.addMethodBytes(method, len(payload), sizeOf(answer))
+	c.server.counters.addMethodBytes(method, len(payload), frame.Size(answer))
 	if err != nil {
 		c.answer(frame.Failure, id, [][]byte{[]byte(err.Error())})
 		return
--- a/internal/mesh/front/body.go
+++ b/internal/mesh/front/body.go
@@ -115,9 +115,6 @@
 	if err := c.reserve(in, 2*int64(size)); err != nil {
 		return err
 	}
-	in.body = alloc.Bytes(size)[:0]
-	for _, b := range buffers {
-		in.body = append(in.body, b...)
-	}
+	in.body = alloc.Join(buffers, size)
 	return c.reserve(in, int64(size))
 }
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -115,8 +115,8 @@
 type Server struct {
 	handler Handler
 	limits  func() cicadaseam.Limits
-	budget  *budget.Budget // of the requests in progress
-	replies ReplyBudget    // nil if replies are not counted
+	budget  *budget.Budget         // of the requests in progress
+	replies cicadaseam.ReplyBudget // nil if replies are not counted
 	// onDelayed is called with the route of a reply that was ready on time and is delivered late
 	// behind earlier ones.
 	onDelayed func(route string)
@@ -150,15 +150,9 @@
 // A request that does not fit it is refused. The default is a budget of DefaultBudget bytes of its own.
 func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
 
-// ReplyBudget accounts for replies that are not written yet. *connpool.Budget implements it.
-type ReplyBudget interface {
-	Hold(bytes int64)
-	Release(bytes int64)
-}
-
 // WithReplyBudget sets the budget that replies count in until they are written. A caller that reads
 // none holds memory: what uses the same budget admits less then.
-func WithReplyBudget(b ReplyBudget) Option { return func(s *Server) { s.replies = b } }
+func WithReplyBudget(b cicadaseam.ReplyBudget) Option { return func(s *Server) { s.replies = b } }
 
 // WithMaxConns sets how many connections may be open. The default, also for 0, is DefaultMaxConns.
 func WithMaxConns(n int) Option {
--- a/mesh.go
+++ b/mesh.go
@@ -299,6 +299,12 @@
 	CallRefused bool
 }
 
+// ReplyBudget accounts for the memory of replies that are not written yet to a caller or another node.
+type ReplyBudget interface {
+	Hold(bytes int64)
+	Release(bytes int64)
+}
+
 // MeshLoad is the load that a target reports.
 type MeshLoad struct {
 	// InFlight is the number of requests at the backend server plus that of the free slots that
